Add the whole path from callers to backend servers

Entries, agents, the job client, the stand-ins for the platform's log and the backend server, and the design they follow. The decisions (job ownership, admission, placement, slots, configuration, membership) are pure packages.

--- /dev/null
+++ b/entry/exchange.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/config"
+	"github.com/lavendercourse/lavendercourse/event"
+	"github.com/lavendercourse/lavendercourse/link"
+	"github.com/lavendercourse/lavendercourse/member"
+	"github.com/lavendercourse/lavendercourse/message"
+)
+
+// askTimeout bounds the wait for the answers to an ask.
+const askTimeout = clock.Second
+
+// server answers requests that other entries forward.
+type server interface {
+	forwarded(ctx context.Context, f message.Forward) message.Reply
+}
+
+type awaited struct {
+	link  *link.Link
+	frame chan message.Frame
+}
+
+// exchange is the traffic with the other entries.
+type exchange struct {
+	*core
+	ctx    context.Context
+	server server
+
+	waitMu sync.Mutex
+	number uint64
+	waits  map[uint64]awaited
+}
+
+func newExchange(ctx context.Context, c *core) *exchange {
+	return &exchange{core: c, ctx: ctx, waits: map[uint64]awaited{}}
+}
+
+// frame handles a frame from the named entry.
+func (x *exchange) frame(l *link.Link, name string, f message.Frame) error {
+	switch f.Type {
+	case message.TypePulse:
+		return x.pulse(l, name, f)
+	case message.TypeAck:
+		return x.ack(name, f)
+	case message.TypeAsk:
+		return x.ask(l, f)
+	case message.TypeFetch:
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if !x.state.Based() {
+			return nil
+		}
+		return l.Send(message.TypeState, f.Number, x.state.Snapshot())
+	case message.TypeState:
+		return x.adopt(f)
+	case message.TypeForward:
+		var m message.Forward
+		if err := f.DecodeBody(&m); err != nil {
+			return err
+		}
+		go func() {
+			// A link that broke meanwhile loses the reply; the caller asks again.
+			_ = l.Send(message.TypeReply, f.Number, x.server.forwarded(x.ctx, m))
+		}()
+	case message.TypeReply, message.TypeHeard:
+		x.answered(f)
+	}
+	return nil
+}
+
+func (x *exchange) pulse(l *link.Link, name string, f message.Frame) error {
+	var p message.Pulse
+	if err := f.DecodeBody(&p); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.clock.Now()
+	inc := lavendercourse.Incarnation(p.Incarnation)
+	x.quorum.Heard(now, inc)
+	x.quorum.Told(name, p.Version)
+	x.list.Observe(name, inc)
+	return l.Send(message.TypeAck, 0, message.Ack{
+		Stamp: p.Stamp, Incarnation: string(x.jobs.Incarnation()), Version: x.state.Version(),
+	})
+}
+
+func (x *exchange) ack(name string, f message.Frame) error {
+	var a message.Ack
+	if err := f.DecodeBody(&a); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.clock.Now()
+	inc := lavendercourse.Incarnation(a.Incarnation)
+	x.quorum.Heard(now, inc)
+	x.list.Observe(name, inc)
+	x.quorum.Acknowledged(name, a.Stamp, a.Version)
+	x.refresh(now)
+	x.pump(now)
+	return nil
+}
+
+func (x *exchange) ask(l *link.Link, f message.Frame) error {
+	var a message.Ask
+	if err := f.DecodeBody(&a); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	s := x.quorum.Sighting(x.clock.Now(), lavendercourse.Incarnation(a.Incarnation))
+	if a.Incarnation == string(x.jobs.Incarnation()) {
+		s = member.Sighting{Known: true, Up: s.Up}
+	}
+	x.mu.Unlock()
+	return l.Send(message.TypeHeard, f.Number, message.Heard{Incarnation: a.Incarnation, Known: s.Known, Age: s.Age, Up: s.Up})
+}
+
+// adopt takes over the configuration of a peer that has a newer one.
+func (x *exchange) adopt(f message.Frame) error {
+	var s config.Snapshot
+	if err := f.DecodeBody(&s); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.state.Adopt(s) {
+		return nil
+	}
+	event.ConfigAdopted.On(x.logger).Uint64("version", s.Version).Send()
+	now := x.clock.Now()
+	x.configured()
+	x.refresh(now)
+	x.pump(now)
+	return nil
+}
+
+// beat sends a pulse to every linked entry, and asks for the configuration if one has a newer version.
+func (x *exchange) beat() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.clock.Now()
+	p := message.Pulse{
+		Stamp: now, Incarnation: string(x.jobs.Incarnation()), Version: x.state.Version(), Offset: x.state.Offset(),
+	}
+	for _, l := range x.peers {
+		// A link that cannot take the frame closes itself.
+		_ = l.Send(message.TypePulse, 0, p)
+	}
+	newest := x.quorum.Newest(x.names, x.state.Version())
+	if newest == "" && !x.state.Based() {
+		for name := range x.peers {
+			newest = name
+			break
+		}
+	}
+	if l := x.peers[newest]; l != nil {
+		_ = l.Send(message.TypeFetch, 0, message.Fetch{})
+	}
+}
+
+// request sends a frame and waits for the answer with the same number.
+func (x *exchange) request(ctx context.Context, l *link.Link, t message.Type, body any) (message.Frame, error) {
+	w := awaited{link: l, frame: make(chan message.Frame, 1)}
+	x.waitMu.Lock()
+	x.number++
+	number := x.number
+	x.waits[number] = w
+	x.waitMu.Unlock()
+	defer func() {
+		x.waitMu.Lock()
+		delete(x.waits, number)
+		x.waitMu.Unlock()
+	}()
+	if err := l.Send(t, number, body); err != nil {
+		return message.Frame{}, eris.Wrapf(errPeer, "send %s: %v", t, err)
+	}
+	select {
+	case f := <-w.frame:
+		return f, nil
+	case <-l.Done():
+		return message.Frame{}, eris.Wrapf(errPeer, "%s: link closed", t)
+	case <-ctx.Done():
+		return message.Frame{}, eris.Wrapf(errPeer, "%s: %v", t, ctx.Err())
+	}
+}
+
+// answered hands an answer to whoever waits for its number. One for which nobody waits any more is dropped.
+func (x *exchange) answered(f message.Frame) {
+	x.waitMu.Lock()
+	w, ok := x.waits[f.Number]
+	x.waitMu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case w.frame <- f:
+	default:
+	}
+}
+
+// forward sends a request to the entry that owns a job.
+func (x *exchange) forward(ctx context.Context, owner lavendercourse.Incarnation, m message.Forward) (message.Reply, error) {
+	x.mu.Lock()
+	name, _ := x.list.Owner(owner)
+	l := x.peers[name]
+	x.mu.Unlock()
+	if l == nil {
+		return message.Reply{}, eris.Wrapf(errUnsent, "no link to the owner %q", name)
+	}
+	f, err := x.request(ctx, l, message.TypeForward, m)
+	if err != nil {
+		return message.Reply{}, err
+	}
+	var r message.Reply
+	if err := f.DecodeBody(&r); err != nil {
+		return message.Reply{}, err
+	}
+	return r, nil
+}
+
+// fate asks the other entries what became of an incarnation. Known is false if no entry has ever heard of it.
+func (x *exchange) fate(ctx context.Context, inc lavendercourse.Incarnation) (gone, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	x.mu.Lock()
+	list := append([]string(nil), x.names...)
+	sightings := map[string]member.Sighting{x.cfg.Name: x.quorum.Sighting(x.clock.Now(), inc)}
+	_, known = x.list.Owner(inc)
+	links := map[string]*link.Link{}
+	for name, l := range x.peers {
+		links[name] = l
+	}
+	x.mu.Unlock()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for name, l := range links {
+		wg.Go(func() {
+			f, err := x.request(ctx, l, message.TypeAsk, message.Ask{Incarnation: string(inc)})
+			if err != nil {
+				return
+			}
+			var h message.Heard
+			if f.DecodeBody(&h) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sightings[name] = member.Sighting{Known: h.Known, Age: h.Age, Up: h.Up}
+		})
+	}
+	wg.Wait()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, s := range sightings {
+		known = known || s.Known
+	}
+	return x.quorum.Gone(list, sightings), known
+}
--- /dev/null
+++ b/link/dial.go
@@ -0,0 +1,64 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/rotisserie/eris"
+)
+
+// Path is where entries accept links.
+const Path = "/link"
+
+const (
+	dialTimeout = 3 * time.Second
+	bufferSize  = 4096
+)
+
+// DialFunc opens a TCP connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer makes links to entries.
+type Dialer struct {
+	ws websocket.Dialer
+}
+
+// NewDialer returns a dialer that opens connections with the given function, or with net.Dialer if it is nil.
+func NewDialer(dial DialFunc) *Dialer {
+	return &Dialer{ws: websocket.Dialer{
+		NetDialContext:   dial,
+		HandshakeTimeout: dialTimeout,
+		ReadBufferSize:   bufferSize,
+		WriteBufferSize:  bufferSize,
+	}}
+}
+
+// Dial makes a link to the entry at the given host and port.
+func (d *Dialer) Dial(ctx context.Context, address string, cfg Config) (*Link, error) {
+	conn, resp, err := d.ws.DialContext(ctx, "ws://"+address+Path, nil)
+	if resp != nil && resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	if err != nil {
+		return nil, eris.Wrapf(ErrDial, "%s: %v", address, err)
+	}
+	return New(conn, cfg), nil
+}
+
+var upgrader = websocket.Upgrader{
+	HandshakeTimeout: dialTimeout,
+	ReadBufferSize:   bufferSize,
+	WriteBufferSize:  bufferSize,
+}
+
+// Accept turns an HTTP request into a link.
+func Accept(w http.ResponseWriter, r *http.Request, cfg Config) (*Link, error) {
+	conn, err := upgrader.Upgrade(w, r, nil)
+	if err != nil {
+		return nil, eris.Wrapf(ErrDial, "accept: %v", err)
+	}
+	return New(conn, cfg), nil
+}
--- /dev/null
+++ b/message/frame.go
@@ -0,0 +1,129 @@
+// Package message defines the frames that entries and agents send to each other: CBOR arrays of a type, a version, a
+// number and a body.
+package message
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Version is the version of the bodies that this package writes.
+const Version = 1
+
+// MaxSize is the size in bytes above which a frame is rejected.
+const MaxSize = 4 << 20
+
+// Errors of this package.
+var (
+	ErrFrame = eris.New("malformed frame")
+	ErrBody  = eris.New("malformed message body")
+)
+
+// Type tells what the body of a frame is.
+type Type uint8
+
+// The message types. Their numbers are part of the protocol.
+const (
+	TypeHello   Type = 1
+	TypeWelcome Type = 2
+	TypeBeat    Type = 3
+	TypeRenew   Type = 4
+	TypeStart   Type = 5
+	TypeDone    Type = 6
+	TypeStop    Type = 7
+	TypeLeave   Type = 8
+	TypeResume  Type = 9
+	TypePulse   Type = 10
+	TypeAck     Type = 11
+	TypeForward Type = 12
+	TypeReply   Type = 13
+	TypeAsk     Type = 14
+	TypeHeard   Type = 15
+	TypeFetch   Type = 16
+	TypeState   Type = 17
+)
+
+// TypeCount is one more than the highest type number.
+const TypeCount = 18
+
+var typeNames = [TypeCount]string{
+	"unknown", "hello", "welcome", "beat", "renew", "start", "done", "stop", "leave", "resume", "pulse", "ack",
+	"forward", "reply", "ask", "heard", "fetch", "state",
+}
+
+// String returns the name of the type, as used in metrics.
+func (t Type) String() string {
+	if t >= TypeCount {
+		return typeNames[0]
+	}
+	return typeNames[t]
+}
+
+// Frame is one message on a link. Number matches an answer to its request; it is 0 where none is expected.
+type Frame struct {
+	_       struct{} `cbor:",toarray"`
+	Type    Type
+	Version uint8
+	Number  uint64
+	Body    cbor.RawMessage
+}
+
+var (
+	encoding cbor.EncMode
+	decoding cbor.DecMode
+)
+
+func init() {
+	var err error
+	encoding, err = cbor.EncOptions{Sort: cbor.SortNone}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	// The limits keep a hostile frame from causing a large allocation.
+	decoding, err = cbor.DecOptions{
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      1 << 16,
+		MaxNestedLevels:  8,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+}
+
+// Encode returns the bytes of a frame with the given body.
+func Encode(t Type, number uint64, body any) ([]byte, error) {
+	raw, err := encoding.Marshal(body)
+	if err != nil {
+		return nil, eris.Wrapf(ErrBody, "encode %s: %v", t, err)
+	}
+	b, err := encoding.Marshal(Frame{Type: t, Version: Version, Number: number, Body: raw})
+	if err != nil {
+		return nil, eris.Wrapf(ErrFrame, "encode %s: %v", t, err)
+	}
+	if len(b) > MaxSize {
+		return nil, eris.Wrapf(ErrFrame, "%s of %d bytes is larger than %d bytes", t, len(b), MaxSize)
+	}
+	return b, nil
+}
+
+// Decode reads a frame. The body is left to DecodeBody.
+func Decode(b []byte) (Frame, error) {
+	if len(b) > MaxSize {
+		return Frame{}, eris.Wrapf(ErrFrame, "frame of %d bytes is larger than %d bytes", len(b), MaxSize)
+	}
+	var f Frame
+	if err := decoding.Unmarshal(b, &f); err != nil {
+		return Frame{}, eris.Wrapf(ErrFrame, "decode: %v", err)
+	}
+	return f, nil
+}
+
+// DecodeBody reads the body of a frame into the struct that v points to.
+func (f Frame) DecodeBody(v any) error {
+	if err := decoding.Unmarshal(f.Body, v); err != nil {
+		return eris.Wrapf(ErrBody, "decode %s: %v", f.Type, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/message/frame_test.go
@@ -0,0 +1,22 @@
+package message_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercourse/lavendercourse/message"
+)
+
+// Guards against a frame whose body is lost or altered on the way.
+func TestFrameRoundTrip(t *testing.T) {
+	b, err := message.Encode(message.TypeBeat, 7, message.Beat{Stamp: 42, Load: message.Load{Running: 3, Window: 9}})
+	assert.NilError(t, err)
+	f, err := message.Decode(b)
+	assert.NilError(t, err)
+	assert.Equal(t, f.Type, message.TypeBeat)
+	assert.Equal(t, f.Number, uint64(7))
+	var got message.Beat
+	assert.NilError(t, f.DecodeBody(&got))
+	assert.DeepEqual(t, got, message.Beat{Stamp: 42, Load: message.Load{Running: 3, Window: 9}})
+}
--- /dev/null
+++ b/placement/fleet.go
@@ -0,0 +1,259 @@
+// Package placement decides which agent gets the next task. It keeps what an entry knows of the agents it is linked
+// to. It is pure.
+package placement
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/message"
+)
+
+// Config holds what a fleet needs to know about its entry.
+type Config struct {
+	// Policy chooses among the agents with room.
+	Policy lavendercourse.Policy
+	// Entry, Region and Domain are those of the entry.
+	Entry  string
+	Region string
+	Domain string
+	// Seed makes random choices repeatable.
+	Seed uint64
+}
+
+// Attempt names one start that was sent.
+type Attempt struct {
+	Key     lavendercourse.TaskKey
+	Attempt uint32
+}
+
+// Agent is what the entry knows of an agent.
+type Agent struct {
+	hello   message.Hello
+	sent    map[Attempt]clock.Millis
+	calls   int
+	load    message.Load
+	home    bool
+	leaving bool
+	health  health
+	index   int
+}
+
+// Hello returns what the agent said of itself.
+func (a *Agent) Hello() message.Hello { return a.hello }
+
+// Load returns what the agent last reported.
+func (a *Agent) Load() message.Load { return a.load }
+
+// Sent returns the number of unfinished starts of this entry.
+func (a *Agent) Sent() int { return len(a.sent) }
+
+// Health returns one of ready, trial, ejected, leaving.
+func (a *Agent) Health() string {
+	if a.leaving {
+		return "leaving"
+	}
+	return a.health.String()
+}
+
+// tasks returns the number of unfinished tasks, without calls.
+func (a *Agent) tasks() int { return len(a.sent) - a.calls }
+
+// Fleet is the set of agents that an entry is linked to.
+type Fleet struct {
+	cfg        Config
+	agents     map[string]*Agent
+	order      []*Agent
+	candidates []lavendercourse.Candidate
+	drained    map[string]bool
+	rng        *rand.Rand
+}
+
+// New returns an empty fleet.
+func New(cfg Config) *Fleet {
+	return &Fleet{
+		cfg:     cfg,
+		agents:  map[string]*Agent{},
+		drained: map[string]bool{},
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
+	}
+}
+
+// Join adds an agent, or takes note that it is linked again. It returns the attempts that an earlier incarnation of
+// the agent took with it.
+func (f *Fleet) Join(now clock.Millis, hello message.Hello) []Attempt {
+	var lost []Attempt
+	old := f.agents[hello.Name]
+	if old != nil && old.hello.Incarnation == hello.Incarnation {
+		old.hello, old.leaving = hello, false
+		return nil
+	}
+	if old != nil {
+		lost = f.Leave(hello.Name)
+	}
+	a := &Agent{hello: hello, sent: map[Attempt]clock.Millis{}, load: message.Load{Window: hello.Slots}, health: newHealth(now)}
+	f.agents[hello.Name] = a
+	f.order = append(f.order, a)
+	sort.Slice(f.order, func(i, j int) bool { return f.order[i].hello.Name < f.order[j].hello.Name })
+	return lost
+}
+
+// Leave removes an agent and returns its unfinished attempts.
+func (f *Fleet) Leave(name string) []Attempt {
+	a := f.agents[name]
+	if a == nil {
+		return nil
+	}
+	delete(f.agents, name)
+	for i, other := range f.order {
+		if other == a {
+			f.order = append(f.order[:i], f.order[i+1:]...)
+			break
+		}
+	}
+	return a.Attempts()
+}
+
+// Attempts returns the unfinished starts of this entry on the agent.
+func (a *Agent) Attempts() []Attempt {
+	attempts := make([]Attempt, 0, len(a.sent))
+	for at := range a.sent {
+		attempts = append(attempts, at)
+	}
+	return attempts
+}
+
+// Agent returns the agent with the given name, or nil.
+func (f *Fleet) Agent(name string) *Agent { return f.agents[name] }
+
+// Agents returns all agents in the order of their names.
+func (f *Fleet) Agents() []*Agent { return f.order }
+
+// SetLeaving takes note that an agent takes no more work.
+func (f *Fleet) SetLeaving(name string) {
+	if a := f.agents[name]; a != nil {
+		a.leaving = true
+	}
+}
+
+// SetDrained sets the failure domains that are out of service.
+func (f *Fleet) SetDrained(domains map[string]bool) { f.drained = domains }
+
+// SetHomes sets the agents that prefer this entry.
+func (f *Fleet) SetHomes(homes map[string]string) {
+	for name, a := range f.agents {
+		a.home = homes[name] == f.cfg.Entry
+	}
+}
+
+// Report takes note of the load that an agent told.
+func (f *Fleet) Report(name string, load message.Load) {
+	if a := f.agents[name]; a != nil {
+		a.load = load
+	}
+}
+
+// Sent counts a start that was sent.
+func (f *Fleet) Sent(now clock.Millis, name string, at Attempt, call bool) {
+	a := f.agents[name]
+	if a == nil {
+		return
+	}
+	a.sent[at] = now
+	if call {
+		a.calls++
+		a.load.Calls++
+		return
+	}
+	a.load.Running++
+}
+
+// Ended counts a start that has ended, whatever its status. It returns false for one that is not counted.
+func (f *Fleet) Ended(now clock.Millis, name string, at Attempt, call bool, status message.Status) bool {
+	a := f.agents[name]
+	if a == nil {
+		return false
+	}
+	if _, ok := a.sent[at]; !ok {
+		return false
+	}
+	delete(a.sent, at)
+	if call {
+		a.calls--
+	}
+	a.health.ended(now, status)
+	return true
+}
+
+// Pick returns the agent for the next task or call, or false if none has room.
+func (f *Fleet) Pick(now clock.Millis, want Want) (string, bool) {
+	f.candidates = f.candidates[:0]
+	bound := f.ejectable()
+	for i, a := range f.order {
+		if !f.usable(now, a, want, bound) {
+			continue
+		}
+		f.candidates = append(f.candidates, f.candidate(i, a, want))
+	}
+	if len(f.candidates) == 0 {
+		return "", false
+	}
+	chosen := f.cfg.Policy.Choose(f.candidates, f.rng.IntN)
+	return f.order[f.candidates[chosen].Index].hello.Name, true
+}
+
+// Fits tells whether any known worker could ever run the work.
+func (f *Fleet) Fits(want Want) bool {
+	for _, a := range f.order {
+		if want.fits(a.hello) {
+			return true
+		}
+	}
+	return len(f.order) == 0
+}
+
+// Capacity returns the slots of all agents that are in service.
+func (f *Fleet) Capacity() int {
+	n := 0
+	for _, a := range f.order {
+		if !a.leaving && !f.drained[a.hello.Domain] {
+			n += a.hello.Slots
+		}
+	}
+	return n
+}
+
+func (f *Fleet) usable(now clock.Millis, a *Agent, want Want, bound int) bool {
+	if a.leaving || f.drained[a.hello.Domain] || !want.fits(a.hello) || a.hello.Name == want.Avoid {
+		return false
+	}
+	if want.Call {
+		return a.load.Running+a.load.Calls < a.hello.Connections && a.health.open(now, a.calls, bound)
+	}
+	return a.tasks() < a.load.Window && a.health.open(now, a.tasks(), bound)
+}
+
+func (f *Fleet) candidate(i int, a *Agent, want Want) lavendercourse.Candidate {
+	c := lavendercourse.Candidate{Index: i, Home: a.home, Near: f.near(a)}
+	if want.Call {
+		c.Limit, c.Used = a.hello.Connections, a.load.Calls
+		return c
+	}
+	c.Limit = a.hello.Slots
+	// Tasks of this entry that the last report did not count yet are in Running already, see Sent.
+	c.Used = max(a.load.Running+a.load.Pending, a.tasks())
+	return c
+}
+
+func (f *Fleet) near(a *Agent) int {
+	switch {
+	case a.hello.Domain == f.cfg.Domain:
+		return 0
+	case a.hello.Region == f.cfg.Region:
+		return 1
+	default:
+		return 2
+	}
+}
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,217 @@
+// Package worker stands in for a backend server in tests, benchmarks and the demo. It keeps a journal of every start,
+// which is the independent record that the promises are checked against.
+package worker
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gorilla/mux"
+
+	workerv1 "github.com/lavendercourse/lavendercourse/schema/worker/v1"
+	"github.com/lavendercourse/lavendercourse/schema/worker/v1/workerv1connect"
+)
+
+// Config describes the stand-in.
+type Config struct {
+	Name   string
+	Domain string
+}
+
+// Faults are what the stand-in does wrong. They can be changed while it runs.
+type Faults struct {
+	// Fail makes all work fail.
+	Fail bool `json:"fail"`
+	// Hang makes all work run until it is stopped.
+	Hang bool `json:"hang"`
+	// Lag multiplies run times, in percent. 0 and 100 change nothing.
+	Lag int `json:"lag"`
+}
+
+// Start is one line of the journal.
+type Start struct {
+	Job    string    `json:"job"`
+	Task   uint32    `json:"task"`
+	Call   bool      `json:"call"`
+	Worker string    `json:"worker"`
+	Domain string    `json:"domain"`
+	Time   time.Time `json:"time"`
+	// Payload is kept for calls, so that their sender can be found.
+	Payload string `json:"payload,omitempty"`
+}
+
+type taskName struct {
+	job  string
+	task uint32
+}
+
+// Worker is the stand-in.
+type Worker struct {
+	cfg     Config
+	mu      sync.Mutex
+	faults  Faults
+	journal []Start
+	stops   map[taskName]context.CancelFunc
+	usages  []*workerv1.Usage
+}
+
+// New returns a stand-in that works well.
+func New(cfg Config) *Worker {
+	return &Worker{cfg: cfg, stops: map[taskName]context.CancelFunc{}}
+}
+
+// Register serves the worker on a router.
+func (w *Worker) Register(r *mux.Router) {
+	path, handler := workerv1connect.NewWorkerServiceHandler(w)
+	r.PathPrefix(path).Handler(handler)
+}
+
+// SetFaults changes what the stand-in does wrong.
+func (w *Worker) SetFaults(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+// Journal returns all starts so far.
+func (w *Worker) Journal() []Start {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Start(nil), w.journal...)
+}
+
+// Run implements the schema. The payload of the kinds sleep and burn is the run time in ms; other kinds take 1 ms.
+// The result is the payload.
+func (w *Worker) Run(ctx context.Context, req *connect.Request[workerv1.RunRequest]) (*connect.Response[workerv1.RunResponse], error) {
+	m := req.Msg
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	name := taskName{job: m.GetJob(), task: m.GetTask()}
+	w.begin(Start{Job: m.GetJob(), Task: m.GetTask()}, name, cancel)
+	began := time.Now()
+	failure := w.work(ctx, m.GetKind(), m.GetPayload())
+	w.end(name, m.GetKind(), time.Since(began))
+	resp := &workerv1.RunResponse{Error: failure}
+	if failure == "" {
+		resp.Result = m.GetPayload()
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Call implements the schema. The result is the payload.
+func (w *Worker) Call(ctx context.Context, req *connect.Request[workerv1.CallRequest]) (*connect.Response[workerv1.CallResponse], error) {
+	m := req.Msg
+	w.begin(Start{Job: m.GetId(), Call: true, Payload: string(m.GetPayload())}, taskName{}, nil)
+	failure := w.work(ctx, m.GetKind(), m.GetPayload())
+	resp := &workerv1.CallResponse{Error: failure}
+	if failure == "" {
+		resp.Result = m.GetPayload()
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Stop implements the schema.
+func (w *Worker) Stop(_ context.Context, req *connect.Request[workerv1.StopRequest]) (*connect.Response[workerv1.StopResponse], error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if cancel := w.stops[taskName{job: req.Msg.GetJob(), task: req.Msg.GetTask()}]; cancel != nil {
+		cancel()
+	}
+	return connect.NewResponse(&workerv1.StopResponse{}), nil
+}
+
+// Checkpoint implements the schema. The stand-in has no progress to save.
+func (w *Worker) Checkpoint(context.Context, *connect.Request[workerv1.CheckpointRequest]) (*connect.Response[workerv1.CheckpointResponse], error) {
+	return connect.NewResponse(&workerv1.CheckpointResponse{}), nil
+}
+
+// Throttle implements the schema. The stand-in's tasks use no processor time that could be limited.
+func (w *Worker) Throttle(context.Context, *connect.Request[workerv1.ThrottleRequest]) (*connect.Response[workerv1.ThrottleResponse], error) {
+	return connect.NewResponse(&workerv1.ThrottleResponse{}), nil
+}
+
+// Usage implements the schema. It reports the tasks that ended since the last report.
+func (w *Worker) Usage(context.Context, *connect.Request[workerv1.UsageRequest]) (*connect.Response[workerv1.UsageResponse], error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	resp := &workerv1.UsageResponse{Usages: w.usages}
+	w.usages = nil
+	return connect.NewResponse(resp), nil
+}
+
+func (w *Worker) begin(s Start, name taskName, cancel context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.Worker, s.Domain, s.Time = w.cfg.Name, w.cfg.Domain, time.Now()
+	w.journal = append(w.journal, s)
+	if cancel != nil {
+		w.stops[name] = cancel
+	}
+}
+
+func (w *Worker) end(name taskName, kind string, run time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.stops, name)
+	if len(w.usages) < 10_000 {
+		w.usages = append(w.usages, &workerv1.Usage{Job: name.job, Task: name.task, Kind: kind, CpuMs: uint32(run.Milliseconds())})
+	}
+}
+
+// work returns the error text of work that failed.
+func (w *Worker) work(ctx context.Context, kind string, payload []byte) string {
+	w.mu.Lock()
+	f := w.faults
+	w.mu.Unlock()
+	span := runTime(kind, payload)
+	if f.Lag > 0 {
+		span = span * time.Duration(f.Lag) / 100
+	}
+	switch {
+	case f.Fail || kind == "fail":
+		return "failed as told"
+	case f.Hang || kind == "hang":
+		<-ctx.Done()
+		return "stopped"
+	case kind == "burn":
+		burn(ctx, span)
+	default:
+		select {
+		case <-ctx.Done():
+		case <-time.After(span):
+		}
+	}
+	if ctx.Err() != nil {
+		return "stopped"
+	}
+	return ""
+}
+
+func runTime(kind string, payload []byte) time.Duration {
+	ms := 1
+	if kind == "sleep" || kind == "burn" {
+		// The payload may go on after the number, so that payloads can differ.
+		digits := payload
+		for i, b := range payload {
+			if b < '0' || b > '9' {
+				digits = payload[:i]
+				break
+			}
+		}
+		if n, err := strconv.Atoi(string(digits)); err == nil {
+			ms = n
+		}
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// burn uses a processor for the given time.
+func burn(ctx context.Context, span time.Duration) {
+	end := time.Now().Add(span)
+	for sum := 0; time.Now().Before(end) && ctx.Err() == nil; sum++ {
+		sum ^= sum << 1
+	}
+}
--- /dev/null
+++ b/worker/client.go
@@ -0,0 +1,75 @@
+// Package worker is the client of the backend server beside an agent.
+package worker
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	workerv1 "github.com/lavendercourse/lavendercourse/schema/worker/v1"
+	"github.com/lavendercourse/lavendercourse/schema/worker/v1/workerv1connect"
+)
+
+// ErrUnanswered is returned when the backend server did not answer. The work may have run.
+var ErrUnanswered = eris.New("backend server did not answer")
+
+// Config holds the settings of a client.
+type Config struct {
+	// Address is the host and port of the backend server.
+	Address string
+	// Connections bounds the connections that are kept open.
+	Connections int
+}
+
+// Client implements lavendercourse.Backend.
+type Client struct {
+	rpc workerv1connect.WorkerServiceClient
+}
+
+// New returns a client. It connects when it is used.
+func New(cfg Config) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: cfg.Connections, MaxConnsPerHost: 2 * cfg.Connections}
+	return &Client{rpc: workerv1connect.NewWorkerServiceClient(&http.Client{Transport: transport}, "http://"+cfg.Address)}
+}
+
+// Run starts a task and waits for its end.
+func (c *Client) Run(ctx context.Context, w lavendercourse.Work) (lavendercourse.Result, error) {
+	resp, err := c.rpc.Run(ctx, connect.NewRequest(&workerv1.RunRequest{
+		Job: w.Key.Job().String(), Task: w.Key.Task(), Kind: w.Kind, Payload: w.Payload, LeaseMs: uint32(w.Lease),
+	}))
+	if err != nil {
+		return lavendercourse.Result{}, eris.Wrapf(ErrUnanswered, "run %s: %v", w.Key, err)
+	}
+	return lavendercourse.Result{Data: resp.Msg.GetResult(), Failure: resp.Msg.GetError()}, nil
+}
+
+// Call sends a call and waits for its answer.
+func (c *Client) Call(ctx context.Context, w lavendercourse.Work) (lavendercourse.Result, error) {
+	resp, err := c.rpc.Call(ctx, connect.NewRequest(&workerv1.CallRequest{
+		Id: w.Key.String(), Kind: w.Kind, Payload: w.Payload,
+	}))
+	if err != nil {
+		return lavendercourse.Result{}, eris.Wrapf(ErrUnanswered, "call %s: %v", w.Key, err)
+	}
+	return lavendercourse.Result{Data: resp.Msg.GetResult(), Failure: resp.Msg.GetError()}, nil
+}
+
+// Stop asks to end a running task.
+func (c *Client) Stop(ctx context.Context, key lavendercourse.TaskKey) error {
+	_, err := c.rpc.Stop(ctx, connect.NewRequest(&workerv1.StopRequest{Job: key.Job().String(), Task: key.Task()}))
+	if err != nil {
+		return eris.Wrapf(ErrUnanswered, "stop %s: %v", key, err)
+	}
+	return nil
+}
+
+// Ping tells whether the backend server answers.
+func (c *Client) Ping(ctx context.Context) error {
+	if _, err := c.rpc.Usage(ctx, connect.NewRequest(&workerv1.UsageRequest{})); err != nil {
+		return eris.Wrapf(ErrUnanswered, "ping: %v", err)
+	}
+	return nil
+}
