--- /dev/null
+++ b/standin/peers/agents.go
@@ -0,0 +1,135 @@
+// Package peers stands in for many agents or entries at little cost, to measure what one real process spends on them.
+package peers
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/link"
+	"github.com/lavendercourse/lavendercourse/message"
+)
+
+// ErrPeers is returned when the stand-ins cannot be linked.
+var ErrPeers = eris.New("stand-in peers cannot be linked")
+
+const beatPeriod = time.Second
+
+// AgentsConfig describes a set of agents.
+type AgentsConfig struct {
+	// Count is the number of agents.
+	Count int
+	// Entry is the address of the links of the measured entry.
+	Entry string
+	// Domains is the number of failure domains that the agents are spread over.
+	Domains int
+	// Hold is the time in ms after which a start is answered as done.
+	Hold     clock.Millis
+	Counters *link.Counters
+}
+
+// Agents is a set of linked agents.
+type Agents struct {
+	cfg     AgentsConfig
+	clock   *clock.System
+	cancel  context.CancelFunc
+	links   []*link.Link
+	started atomic.Uint64
+}
+
+// fakeAgent answers the starts of one link without running anything.
+type fakeAgent struct {
+	set     *Agents
+	running atomic.Int64
+}
+
+// NewAgents links the agents to the entry. They send heartbeats until Close is called.
+func NewAgents(cfg AgentsConfig) (*Agents, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Agents{cfg: cfg, clock: clock.NewSystem(), cancel: cancel}
+	dialer := link.NewDialer(nil)
+	for i := range cfg.Count {
+		a := &fakeAgent{set: s}
+		l, err := dialer.Dial(ctx, cfg.Entry, link.Config{Handler: a, Counters: cfg.Counters})
+		if err != nil {
+			s.Close()
+			return nil, eris.Wrapf(ErrPeers, "agent %d: %v", i, err)
+		}
+		s.links = append(s.links, l)
+		if err := l.Send(message.TypeHello, 0, s.hello(i)); err != nil {
+			s.Close()
+			return nil, eris.Wrapf(ErrPeers, "agent %d: %v", i, err)
+		}
+		go func() {
+			// Heartbeats of the agents are spread over the period, as those of separate processes are.
+			time.Sleep(beatPeriod * time.Duration(i) / time.Duration(cfg.Count))
+			t := time.NewTicker(beatPeriod)
+			defer t.Stop()
+			for a.beat(l) == nil {
+				select {
+				case <-ctx.Done():
+					return
+				case <-t.C:
+				}
+			}
+		}()
+	}
+	return s, nil
+}
+
+// Started returns the number of starts received.
+func (s *Agents) Started() uint64 { return s.started.Load() }
+
+// Close ends all links.
+func (s *Agents) Close() {
+	s.cancel()
+	for _, l := range s.links {
+		l.Close()
+	}
+}
+
+func (s *Agents) hello(i int) message.Hello {
+	return message.Hello{
+		Kind: message.KindAgent, Name: fmt.Sprintf("agent-%04d", i), Incarnation: string(lavendercourse.NewIncarnation()),
+		Region: "south", Domain: fmt.Sprintf("domain-%02d", i%max(s.cfg.Domains, 1)), Rack: fmt.Sprintf("rack-%03d", i/3),
+		Slots: 8, Connections: 64,
+	}
+}
+
+func (a *fakeAgent) beat(l *link.Link) error {
+	return l.Send(message.TypeBeat, 0, message.Beat{Stamp: a.set.clock.Now(), Load: a.load()})
+}
+
+func (a *fakeAgent) load() message.Load {
+	return message.Load{Running: int(a.running.Load()), Window: 9}
+}
+
+// Frame answers a start as done after the hold time.
+func (a *fakeAgent) Frame(l *link.Link, f message.Frame) error {
+	if f.Type != message.TypeStart {
+		return nil
+	}
+	var s message.Start
+	if err := f.DecodeBody(&s); err != nil {
+		return err
+	}
+	a.set.started.Add(1)
+	a.running.Add(1)
+	time.AfterFunc(a.set.cfg.Hold.Duration(), func() {
+		a.running.Add(-1)
+		// The measured process sees a link that broke.
+		_ = l.Send(message.TypeDone, 0, message.Done{
+			Job: s.Job, Task: s.Task, Attempt: s.Attempt, Status: message.StatusDone, Result: s.Payload,
+			Run: a.set.cfg.Hold, Load: a.load(),
+		})
+	})
+	return nil
+}
+
+// Closed does nothing: the count of links shows it.
+func (a *fakeAgent) Closed(*link.Link) {}
