Learn run times, split quotas by demand and eject slow workers

Declared run times are often far off, so the queue order and the refusal of deadlines that cannot be met use the mean run time learned for each kind. Each entry gets a share of a team's quota by the demand that the entries report to each other; an entry that has not reported for 3 s keeps its even part. A worker whose tasks run more than four times longer than expected is ejected, and a kind of task that fails on three workers without a success no longer ejects workers.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -15,7 +15,7 @@
 	DefaultAge    = 5 * clock.Second
 	DefaultWeight = 1
 	DefaultRetry  = clock.Second
-	// DefaultRun is the run time in ms assumed for a task that declares none.
+	// DefaultRun is the run time in ms assumed for a task of an unknown kind that declares none.
 	DefaultRun = 300 * clock.Millis(1)
 	// agingShare is the ms of remaining work that one ms of waiting makes up for.
 	agingShare = 10
@@ -96,6 +96,24 @@
 	return &Queue{cfg: cfg, teams: map[string]*team{}, items: map[lavendercourse.JobID]*Item{}}
 }
 
+// Teams returns the names of the teams that have work or limits here.
+func (q *Queue) Teams() []string {
+	names := make([]string, 0, len(q.teams))
+	for name := range q.teams {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Forget drops the teams that have neither work nor limits, since callers choose their names.
+func (q *Queue) Forget() {
+	for name, t := range q.teams {
+		if t.waiting == 0 && t.running == 0 && t.limits == (Limits{Weight: DefaultWeight}) {
+			delete(q.teams, name)
+		}
+	}
+}
+
 // SetLimits sets the limits of a team.
 func (q *Queue) SetLimits(name string, l Limits) {
 	q.team(name).limits = l
@@ -112,6 +130,21 @@
 	return &v
 }
 
+// Ahead returns the work in ms of the same team that waits and goes before the given new job.
+func (q *Queue) Ahead(now clock.Millis, item *Item) clock.Millis {
+	t := q.teams[item.team]
+	if t == nil {
+		return 0
+	}
+	var work clock.Millis
+	for _, i := range t.items {
+		if q.class(now, i) <= item.class && i.cost() < item.cost() {
+			work += clock.Millis(i.waiting) * i.run
+		}
+	}
+	return work
+}
+
 // Push adds a job.
 func (q *Queue) Push(i *Item) {
 	t := q.team(i.team)
--- a/entry/core.go
+++ b/entry/core.go
@@ -52,6 +52,7 @@
 	item  *admission.Item
 	call  bool
 	team  string
+	kind  string
 }
 
 // core is the state of an entry. All of it is guarded by mu.
@@ -72,6 +73,8 @@
 	peers   map[string]*link.Link
 	items   map[lavendercourse.JobID]*admission.Item
 	flights map[placement.Attempt]flight
+	runs    *admission.RunTimes
+	shares  *admission.Shares
 	waiters map[lavendercourse.JobID]chan struct{}
 	past    map[lavendercourse.Incarnation]clock.Millis
 
@@ -104,6 +107,8 @@
 		peers:   map[string]*link.Link{},
 		items:   map[lavendercourse.JobID]*admission.Item{},
 		flights: map[placement.Attempt]flight{},
+		runs:    admission.NewRunTimes(),
+		shares:  admission.NewShares(),
 		waiters: map[lavendercourse.JobID]chan struct{}{},
 		past:    map[lavendercourse.Incarnation]clock.Millis{},
 		parked:  true, announce: true,
@@ -231,7 +236,7 @@
 	}
 	q.Took(item)
 	at := placement.Attempt{Key: as.Key, Attempt: as.Attempt}
-	c.flights[at] = flight{agent: agent, item: item, call: call, team: item.Team()}
+	c.flights[at] = flight{agent: agent, item: item, call: call, team: item.Team(), kind: as.Task.Kind}
 	c.fleet.Sent(now, agent, at, call)
 	c.send(agent, message.TypeStart, message.Start{
 		Job: as.Key.Job().String(), Task: as.Key.Task(), Attempt: as.Attempt, Call: call,
@@ -255,7 +260,11 @@
 		return nil
 	}
 	delete(c.flights, at)
-	c.fleet.Ended(now, agent, at, f.call, d.Status)
+	expected, _ := c.runs.Learned(f.kind)
+	c.fleet.Ended(now, agent, at, f.call, placement.Ending{Status: d.Status, Kind: f.kind, Run: d.Run, Expected: expected})
+	if d.Status == message.StatusDone {
+		c.runs.Observe(f.kind, d.Run)
+	}
 	c.landed(now, at, f, d)
 	c.settle()
 	c.pump(now)
@@ -312,6 +321,8 @@
 			c.rehome()
 		}
 	}
+	c.tasks.Forget()
+	c.calls.Forget()
 	for inc, at := range c.past {
 		if now-at > 2*job.DefaultLifetime {
 			delete(c.past, inc)
@@ -324,17 +335,34 @@
 func (c *core) configured() {
 	c.gate = c.state.Gate()
 	c.fleet.SetDrained(c.state.Domains())
+	c.limit()
+}
+
+// limit sets the limits of the teams from the configuration and the demand at the other entries.
+func (c *core) limit() {
+	now := c.clock.Now()
+	c.shares.Forget(now)
+	others := make([]string, 0, len(c.names))
+	for _, name := range c.names {
+		if name != c.cfg.Name {
+			others = append(others, name)
+		}
+	}
+	demand := c.demand()
 	for name, t := range c.state.Teams() {
-		l := admission.Limits{Weight: t.Weight, Share: c.shareOf(t.Quota)}
+		l := admission.Limits{Weight: t.Weight, Share: c.shares.Of(now, name, t.Quota, demand[name], others)}
 		c.tasks.SetLimits(name, l)
 		c.calls.SetLimits(name, l)
 	}
 }
 
-// shareOf splits a quota evenly over the entries, rounded up.
-func (c *core) shareOf(quota int) int {
-	n := max(len(c.names), 1)
-	return (quota + n - 1) / n
+// demand returns the tasks and calls that wait or run here, by team.
+func (c *core) demand() map[string]int {
+	demand := c.tasks.Demand()
+	for name, n := range c.calls.Demand() {
+		demand[name] += n
+	}
+	return demand
 }
 
 // relisted applies a change of the entries list.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -269,12 +269,34 @@
 		v = lavendercourse.Refusal(lavendercourse.ReasonAgain, "this entry has no quorum lease", retryAgain)
 	case !d.fits(spec):
 		v = lavendercourse.Refusal(lavendercourse.ReasonImpossible, "a task declares more memory or cores than any worker has", 0)
+	case d.late(now, spec):
+		v = lavendercourse.Refusal(lavendercourse.ReasonDeadline, "the work that waits already takes longer than the deadline", retryAgain)
 	default:
 		return d.queueOf(spec.Call).Admit(spec.Team, len(spec.Tasks))
 	}
 	return &v
 }
 
+// late tells whether the deadline passes before the team's own work that goes first could have ended, even if the team
+// had all slots to itself.
+func (d *dispatcher) late(now clock.Millis, spec job.Spec) bool {
+	slots := d.fleet.Capacity()
+	if spec.Deadline == 0 || spec.Call || slots == 0 {
+		return false
+	}
+	ahead := d.tasks.Ahead(now, d.item(now, lavendercourse.JobID{}, spec))
+	return ahead/clock.Millis(slots) > spec.Deadline
+}
+
+// item describes a job for the queue, with the mean run time expected of its tasks.
+func (d *dispatcher) item(now clock.Millis, id lavendercourse.JobID, spec job.Spec) *admission.Item {
+	var run clock.Millis
+	for _, t := range spec.Tasks {
+		run += d.runs.Expect(t.Kind, t.Declared)
+	}
+	return admission.NewItem(now, id, spec.Team, spec.Class, len(spec.Tasks), run/clock.Millis(len(spec.Tasks)))
+}
+
 func (d *dispatcher) fits(spec job.Spec) bool {
 	for _, t := range spec.Tasks {
 		if !d.fleet.Fits(wantOfTask(t)) {
@@ -286,11 +308,7 @@
 
 func (d *dispatcher) enqueue(now clock.Millis, id lavendercourse.JobID, spec job.Spec) *job.Job {
 	j := d.jobs.Add(now, id, spec)
-	var run clock.Millis
-	for _, t := range spec.Tasks {
-		run += t.Declared
-	}
-	item := admission.NewItem(now, id, spec.Team, spec.Class, len(spec.Tasks), run/clock.Millis(len(spec.Tasks)))
+	item := d.item(now, id, spec)
 	d.items[id] = item
 	d.queueOf(spec.Call).Push(item)
 	d.pump(now)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -88,6 +88,11 @@
 	x.quorum.Heard(now, inc)
 	x.quorum.Told(name, p.Version)
 	x.list.Observe(name, inc)
+	demand := make(map[string]int, len(p.Demand))
+	for _, d := range p.Demand {
+		demand[d.Team] = d.Tasks
+	}
+	x.shares.Report(now, name, demand)
 	return l.Send(message.TypeAck, 0, message.Ack{
 		Stamp: p.Stamp, Incarnation: string(x.jobs.Incarnation()), Version: x.state.Version(),
 	})
@@ -151,6 +156,9 @@
 	p := message.Pulse{
 		Stamp: now, Incarnation: string(x.jobs.Incarnation()), Version: x.state.Version(), Offset: x.state.Offset(),
 	}
+	p.Demand = x.limitedDemand()
+	x.limit()
+	x.pump(now)
 	for _, l := range x.peers {
 		// A link that cannot take the frame closes itself.
 		_ = l.Send(message.TypePulse, 0, p)
@@ -167,6 +175,18 @@
 	}
 }
 
+// limitedDemand returns the demand of the teams that have a quota. The others need no share.
+func (x *exchange) limitedDemand() []message.Demand {
+	var limited []message.Demand
+	demand := x.demand()
+	for name, t := range x.state.Teams() {
+		if n := demand[name]; n > 0 && t.Quota > 0 {
+			limited = append(limited, message.Demand{Team: name, Tasks: n})
+		}
+	}
+	return limited
+}
+
 // request sends a frame and waits for the answer with the same number.
 func (x *exchange) request(ctx context.Context, l *link.Link, t message.Type, body any) (message.Frame, error) {
 	w := awaited{link: l, frame: make(chan message.Frame, 1)}
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -68,6 +68,7 @@
 	order      []*Agent
 	candidates []lavendercourse.Candidate
 	drained    map[string]bool
+	kinds      kinds
 	rng        *rand.Rand
 }
 
@@ -77,6 +78,7 @@
 		cfg:     cfg,
 		agents:  map[string]*Agent{},
 		drained: map[string]bool{},
+		kinds:   kinds{},
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 }
@@ -170,8 +172,19 @@
 	a.load.Running++
 }
 
-// Ended counts a start that has ended, whatever its status. It returns false for one that is not counted.
-func (f *Fleet) Ended(now clock.Millis, name string, at Attempt, call bool, status message.Status) bool {
+// Ending tells how a start ended.
+type Ending struct {
+	Status message.Status
+	Kind   string
+	// Run is the run time in ms, and Expected the learned run time of the kind or 0.
+	Run      clock.Millis
+	Expected clock.Millis
+	// Excused is set by the fleet for a failure that is the kind's and not the worker's.
+	Excused bool
+}
+
+// Ended counts a start that has ended. It returns false for one that is not counted.
+func (f *Fleet) Ended(now clock.Millis, name string, at Attempt, call bool, e Ending) bool {
 	a := f.agents[name]
 	if a == nil {
 		return false
@@ -183,7 +196,8 @@
 	if call {
 		a.calls--
 	}
-	a.health.ended(now, status)
+	e.Excused = f.kinds.ended(now, name, e)
+	a.health.ended(now, e)
 	return true
 }
 
--- a/placement/health.go
+++ b/placement/health.go
@@ -12,6 +12,12 @@
 	failureLimit = 5
 	firstPause   = clock.Second
 	longestPause = 30 * clock.Second
+	// slowLimit is how many times longer than expected the tasks of a worker may run, on average, before it is ejected.
+	slowLimit = 4
+	// slowSamples is the number of tasks after which a worker can be called slow.
+	slowSamples = 20
+	// slowWeight is the share of a new sample in the running mean: one of this many.
+	slowWeight = 16
 	// ejectedShare bounds the ejected workers: at most one of this many.
 	ejectedShare = 3
 )
@@ -23,6 +29,9 @@
 	ejected  bool
 	until    clock.Millis
 	pause    clock.Millis
+	// slowness is the running mean of run time over expected run time.
+	slowness float64
+	samples  int
 }
 
 func newHealth(now clock.Millis) health {
@@ -42,9 +51,14 @@
 }
 
 // ended takes note of the end of a task. A refusal or a stop says nothing about the worker.
-func (h *health) ended(now clock.Millis, status message.Status) {
-	switch status {
+func (h *health) ended(now clock.Millis, e Ending) {
+	switch e.Status {
 	case message.StatusDone:
+		h.measure(e)
+		if h.samples >= slowSamples && h.slowness > slowLimit {
+			h.eject(now)
+			return
+		}
 		h.failures, h.pause = 0, 0
 		if h.ejected {
 			h.ejected, h.window = false, firstWindow
@@ -52,16 +66,37 @@
 		}
 		h.window = min(h.window*2, 1<<16)
 	case message.StatusFailed:
-		h.failures++
-		if h.failures < failureLimit && !h.ejected {
+		if e.Excused {
 			return
 		}
-		h.ejected = true
-		h.pause = min(max(h.pause*2, firstPause), longestPause)
-		h.until = now + h.pause
+		h.failures++
+		if h.failures >= failureLimit || h.ejected {
+			h.eject(now)
+		}
 	}
 }
 
+// measure takes note of how much longer than expected a task ran.
+func (h *health) measure(e Ending) {
+	if e.Expected <= 0 {
+		return
+	}
+	h.samples++
+	ratio := float64(e.Run) / float64(e.Expected)
+	if h.ejected {
+		// A trial task tells more than the tasks from before the pause.
+		h.slowness = ratio
+		return
+	}
+	h.slowness += (ratio - h.slowness) / float64(min(h.samples, slowWeight))
+}
+
+func (h *health) eject(now clock.Millis) {
+	h.ejected = true
+	h.pause = min(max(h.pause*2, firstPause), longestPause)
+	h.until = now + h.pause
+}
+
 // open tells whether the worker may get one more task. An ejected worker gets single trial tasks; if too many workers
 // are ejected, it is treated like a new one.
 func (h *health) open(now clock.Millis, sent, ejectable int) bool {
