Send heartbeats only where they are needed, and keep the lease when the list grows

Cause: with a beat and a renewal a second on every link, control traffic grows by 96.5 B/s and 0.0088 % of a core for each linked agent. Each repeated announcement also sent the whole entries list to every agent (1,201 B/s for each further entry at 100 agents).

Change: heartbeats are CBOR arrays; dones and starts stand for them on busy links; links that neither side prefers get one in 5 s; an entry that needs a stamp asks for it; the list goes out only when it has changed.

Ruled out: a longer period on all links, since a start needs a stamp younger than 3 s; dropping the acknowledgement between entries, since confirmations would then be 2 s old when the log is down.

Found while reading, and mended: an entry lost its quorum lease, and failed all its jobs, when a second entry joined the list before it had acknowledged a pulse; an entry replaced while the log is down could help to confirm an old configuration; a refused task was sent to the same agent again once every round trip; a forwarded answer could be lost when its owner stopped gracefully; a job with large needs kept all others from being placed.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -154,15 +154,18 @@
 	q.items[i.id] = i
 }
 
-// Next returns the job whose task goes next, or nil if none may go.
-func (q *Queue) Next(now clock.Millis) *Item {
+// Next returns the job whose task goes next, or nil if none may go. Skipped jobs are passed over.
+func (q *Queue) Next(now clock.Millis, skipped map[lavendercourse.JobID]bool) *Item {
 	var best *team
 	bestClass := lavendercourse.Class(0)
 	for _, t := range q.teams {
 		if t.waiting == 0 || (t.limits.Share > 0 && t.running >= t.limits.Share) {
 			continue
 		}
-		class := q.teamClass(now, t)
+		class, ok := q.teamClass(now, t, skipped)
+		if !ok {
+			continue
+		}
 		if best == nil || class < bestClass || (class == bestClass && t.lag() < best.lag()) {
 			best, bestClass = t, class
 		}
@@ -170,7 +173,7 @@
 	if best == nil {
 		return nil
 	}
-	return q.cheapest(now, best, bestClass)
+	return q.cheapest(now, best, bestClass, skipped)
 }
 
 // Took counts one task of a job as sent.
@@ -244,12 +247,15 @@
 	return float64(t.running) / float64(max(t.limits.Weight, 1))
 }
 
-func (q *Queue) teamClass(now clock.Millis, t *team) lavendercourse.Class {
-	best := lavendercourse.Batch
+// teamClass returns the highest class among the jobs of a team, and whether there is a job at all.
+func (q *Queue) teamClass(now clock.Millis, t *team, skipped map[lavendercourse.JobID]bool) (lavendercourse.Class, bool) {
+	best, ok := lavendercourse.Batch, false
 	for _, i := range t.items {
-		best = min(best, q.class(now, i))
+		if !skipped[i.id] {
+			best, ok = min(best, q.class(now, i)), true
+		}
 	}
-	return best
+	return best, ok
 }
 
 func (q *Queue) class(now clock.Millis, i *Item) lavendercourse.Class {
@@ -259,10 +265,10 @@
 	return i.class
 }
 
-func (q *Queue) cheapest(now clock.Millis, t *team, class lavendercourse.Class) *Item {
+func (q *Queue) cheapest(now clock.Millis, t *team, class lavendercourse.Class, skipped map[lavendercourse.JobID]bool) *Item {
 	var best *Item
 	for _, i := range t.items {
-		if q.class(now, i) == class && (best == nil || i.cost() < best.cost()) {
+		if !skipped[i.id] && q.class(now, i) == class && (best == nil || i.cost() < best.cost()) {
 			best = i
 		}
 	}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,7 +23,14 @@
 var ErrStart = eris.New("agent cannot start")
 
 const (
-	beatPeriod   = clock.Second
+	beatPeriod = clock.Second
+	// idlePeriod is the time between heartbeats on a link that is not used.
+	idlePeriod = 5 * clock.Second
+	// activeFor is the time after the last start for which a link counts as used.
+	activeFor = 5 * clock.Second
+	// beatCheck is how often the links are looked through. It is short against beatPeriod, since a heartbeat that is
+	// a little late makes the next start less fresh.
+	beatCheck    = 200 * clock.Millis(1)
 	dialPeriod   = 500 * clock.Millis(1)
 	expirePeriod = clock.Second
 	drainPoll    = 20 * time.Millisecond
@@ -60,7 +67,7 @@
 
 	mu    sync.Mutex
 	table *slot.Table
-	links map[string]*link.Link
+	links map[string]*entryLink
 	// entries holds the addresses of the entries by name.
 	entries map[string]string
 	running map[lavendercourse.TaskKey]context.CancelFunc
@@ -88,14 +95,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		cfg: cfg, ctx: ctx, cancel: cancel, table: slot.New(cfg.Slots),
-		links: map[string]*link.Link{}, entries: map[string]string{},
+		links: map[string]*entryLink{}, entries: map[string]string{},
 		running: map[lavendercourse.TaskKey]context.CancelFunc{},
 	}
 	s := suture.New(cfg.Name, suture.Spec{EventHook: func(ev suture.Event) {
 		event.Restart.On(cfg.Logger).Str("cause", ev.String()).Send()
 	}})
 	s.Add(periodic{name: "dial", period: dialPeriod, do: a.dial})
-	s.Add(periodic{name: "beat", period: beatPeriod, do: a.beat})
+	s.Add(periodic{name: "beat", period: beatCheck, do: a.beat})
 	s.Add(periodic{name: "expire", period: expirePeriod, do: a.expire})
 	a.done = s.ServeBackground(ctx)
 	event.Started.On(cfg.Logger).Str("agent", cfg.Name).Send()
@@ -111,8 +118,8 @@
 	a.mu.Lock()
 	a.leaving = true
 	actions := a.table.Leave(a.cfg.Clock.Now())
-	for _, l := range a.links {
-		_ = l.Send(message.TypeLeave, 0, message.Leave{})
+	for _, s := range a.links {
+		_ = s.link.Send(message.TypeLeave, 0, message.Leave{})
 	}
 	a.perform(actions)
 	a.mu.Unlock()
@@ -124,19 +131,31 @@
 		case <-time.After(drainPoll):
 		}
 	}
-	// The last done messages are on their way; give the links the time to write them.
-	time.Sleep(drainPoll)
+	a.flush(ctx)
 	a.Kill()
 	event.Stopped.On(a.cfg.Logger).Send()
 	return nil
 }
 
+// flush waits until the last done messages are written.
+func (a *Agent) flush(ctx context.Context) {
+	a.mu.Lock()
+	links := make([]*link.Link, 0, len(a.links))
+	for _, s := range a.links {
+		links = append(links, s.link)
+	}
+	a.mu.Unlock()
+	for _, l := range links {
+		l.Flush(ctx)
+	}
+}
+
 // Kill ends the agent at once.
 func (a *Agent) Kill() {
 	a.cancel()
 	a.mu.Lock()
-	for _, l := range a.links {
-		l.Close()
+	for _, s := range a.links {
+		s.link.Close()
 	}
 	a.mu.Unlock()
 	<-a.done
@@ -156,18 +175,24 @@
 	}
 }
 
-// beat sends a heartbeat on every link.
+// beat sends the heartbeats that are due.
 func (a *Agent) beat() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for name, l := range a.links {
-		a.beatOn(name, l)
+	now := a.cfg.Clock.Now()
+	for name, s := range a.links {
+		if s.due(now, a.table.Idle(name)) {
+			a.beatOn(now, name, s)
+		}
 	}
 }
 
-func (a *Agent) beatOn(name string, l *link.Link) {
+func (a *Agent) beatOn(now clock.Millis, name string, s *entryLink) {
+	load := a.table.Load(name)
+	load.Stamp = now
+	s.told = now
 	// A link that cannot take the frame closes itself.
-	_ = l.Send(message.TypeBeat, 0, message.Beat{Stamp: a.cfg.Clock.Now(), Load: a.table.Load(name)})
+	_ = s.link.Send(message.TypeBeat, 0, load)
 }
 
 func (a *Agent) expire() {
@@ -185,13 +210,23 @@
 		case slot.Halt:
 			a.halt(v.Key)
 		case slot.Reply:
-			if l := a.links[v.Entry]; l != nil {
-				_ = l.Send(message.TypeDone, 0, v.Done)
-			}
+			a.reply(v)
 		}
 	}
 }
 
+// reply sends a done message. It carries a stamp, so that it stands for a heartbeat. If the entry is not linked, it asks
+// again once it is.
+func (a *Agent) reply(r slot.Reply) {
+	s := a.links[r.Entry]
+	if s == nil {
+		return
+	}
+	s.told = a.cfg.Clock.Now()
+	r.Done.Load.Stamp = s.told
+	_ = s.link.Send(message.TypeDone, 0, r.Done)
+}
+
 // run starts work on the backend server.
 func (a *Agent) run(r slot.Run) {
 	ctx, cancel := context.WithCancel(a.ctx)
--- a/agent/link.go
+++ b/agent/link.go
@@ -1,12 +1,37 @@
 package agent
 
 import (
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/event"
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/placement"
+	"github.com/lavendercourse/lavendercourse/slot"
 )
 
+// entryLink is the agent's side of a link to an entry.
+type entryLink struct {
+	link        *link.Link
+	incarnation lavendercourse.Incarnation
+	// home tells whether the entry prefers this agent.
+	home bool
+	// told is the time of the last message that carried a stamp.
+	told clock.Millis
+	// renewed is the time of the last renew, and started that of the last start. Both renew the leases of the entry.
+	renewed clock.Millis
+	started clock.Millis
+}
+
+// due tells whether a heartbeat is due. An entry that uses this agent, or prefers it, needs a stamp every second and
+// must renew the leases of its tasks; starts and dones do both without a heartbeat. The others need a sign of life.
+func (s *entryLink) due(now clock.Millis, idle bool) bool {
+	if !s.home && idle && now-s.started > activeFor {
+		return now-s.told >= idlePeriod
+	}
+	return now-min(s.told, max(s.renewed, s.started)) >= beatPeriod
+}
+
 // dial makes the missing links. The entries are those that rank highest for this agent.
 func (a *Agent) dial() {
 	for _, address := range a.missing() {
@@ -61,41 +86,57 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.cfg.Clock.Now()
+	if s := a.links[entry]; s == nil || s.link != l {
+		return nil
+	}
+	actions, err := a.decide(a.cfg.Clock.Now(), entry, f)
+	a.perform(actions)
+	return err
+}
+
+// decide hands a frame from the named entry to the table.
+func (a *Agent) decide(now clock.Millis, entry string, f message.Frame) ([]slot.Action, error) {
 	switch f.Type {
 	case message.TypeStart:
 		var s message.Start
 		if err := f.DecodeBody(&s); err != nil {
-			return err
+			return nil, err
 		}
-		actions, err := a.table.Start(now, entry, s)
-		a.perform(actions)
-		return err
+		a.links[entry].started = now
+		return a.table.Start(now, entry, s)
 	case message.TypeStop:
 		var s message.Stop
 		if err := f.DecodeBody(&s); err != nil {
-			return err
+			return nil, err
 		}
-		actions, err := a.table.Stop(now, entry, s.Tasks)
-		a.perform(actions)
-		return err
+		return a.table.Stop(now, entry, s.Tasks)
 	case message.TypeResume:
 		var r message.Resume
 		if err := f.DecodeBody(&r); err != nil {
-			return err
+			return nil, err
 		}
-		actions, err := a.table.Resume(now, entry, r.Tasks)
-		a.perform(actions)
-		return err
+		return a.table.Resume(now, entry, r.Tasks)
 	case message.TypeRenew:
 		var r message.Renew
 		if err := f.DecodeBody(&r); err != nil {
-			return err
+			return nil, err
 		}
-		a.table.Renew(now, entry, r)
-		a.learn(r.Peers)
+		a.renew(now, entry, r)
+	}
+	return nil, nil
+}
+
+func (a *Agent) renew(now clock.Millis, entry string, r message.Renew) {
+	s := a.links[entry]
+	if r.Incarnation != "" {
+		s.incarnation = lavendercourse.Incarnation(r.Incarnation)
+	}
+	s.home, s.renewed = r.Home, now
+	a.table.Renew(now, entry, s.incarnation, r)
+	a.learn(r.Peers)
+	if r.Now {
+		a.beatOn(now, entry, s)
 	}
-	return nil
 }
 
 // Closed takes note that a link has ended.
@@ -106,7 +147,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.links[entry] == l {
+	if s := a.links[entry]; s != nil && s.link == l {
 		delete(a.links, entry)
 		a.table.Unlinked(entry)
 		event.LinkClosed.On(a.cfg.Logger).Str("peer", entry).Send()
@@ -125,15 +166,17 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if old := a.links[w.Name]; old != nil {
-		old.Close()
+		old.link.Close()
 	}
-	a.links[w.Name] = l
+	now := a.cfg.Clock.Now()
+	s := &entryLink{link: l, incarnation: lavendercourse.Incarnation(w.Incarnation), renewed: now}
+	a.links[w.Name] = s
 	a.learn(w.Peers)
 	if a.entries[w.Name] == "" {
 		a.entries[w.Name] = l.RemoteAddr().String()
 	}
 	event.EntryJoined.On(a.cfg.Logger).Str("entry", w.Name).Send()
-	a.beatOn(w.Name, l)
+	a.beatOn(now, w.Name, s)
 	return nil
 }
 
@@ -151,9 +194,9 @@
 	for _, name := range a.wanted() {
 		wanted[name] = true
 	}
-	for name, l := range a.links {
+	for name, s := range a.links {
 		if !wanted[name] && a.table.Idle(name) {
-			l.Close()
+			s.link.Close()
 		}
 	}
 }
--- a/entry/core.go
+++ b/entry/core.go
@@ -17,9 +17,23 @@
 	"github.com/lavendercourse/lavendercourse/placement"
 )
 
-// stampsKept is the number of heartbeats of an agent that are remembered. A start uses the newest one that came before
-// the configuration was last confirmed, which is at most two seconds ago.
-const stampsKept = 5
+const (
+	// stampsKept is the number of stamps of an agent that are remembered. A start uses the newest one that came before
+	// the configuration was last confirmed, which is at most two seconds ago.
+	stampsKept = 16
+	// stampSpacing is the least time in ms between two remembered stamps.
+	stampSpacing = 200 * clock.Millis(1)
+	// stampAge is the age in ms above which a stamp is not used any more. It leaves the start time to arrive, and to
+	// wait a little for a slot, before the agent's bound of 3 s.
+	stampAge = 2200 * clock.Millis(1)
+	// silentAfter is the time in ms without a message after which the link to an agent with unfinished starts is
+	// closed. Such an agent sends at least a heartbeat a second.
+	silentAfter = 5 * clock.Second
+	// maxSkipped bounds the jobs that are passed over because no worker with room fits them.
+	maxSkipped = 16
+	// nudgePeriod is the least time in ms between two requests for a heartbeat.
+	nudgePeriod = 500 * clock.Millis(1)
+)
 
 type stamped struct {
 	received clock.Millis
@@ -32,15 +46,35 @@
 	stamps []stamped
 	// lost is the time at which the link broke, or 0.
 	lost clock.Millis
+	// home tells whether this entry prefers the agent.
+	home bool
 	// told counts the changes of the entries list that were sent.
 	told int
+	// incarnation is the one of this entry that was told last.
+	incarnation lavendercourse.Incarnation
+	// heard is the time of the last stamp, and nudged that of the last request for one.
+	heard  clock.Millis
+	nudged clock.Millis
+}
+
+// stamp takes note of a stamp of the agent. Stamps that follow each other closely are not all kept, so that those kept
+// reach back far enough.
+func (a *agentLink) stamp(now, stamp clock.Millis) {
+	a.heard = now
+	if n := len(a.stamps); n > 0 && now-a.stamps[n-1].received < stampSpacing {
+		return
+	}
+	a.stamps = append(a.stamps, stamped{received: now, stamp: stamp})
+	if len(a.stamps) > stampsKept {
+		a.stamps = a.stamps[1:]
+	}
 }
 
-// newest returns the newest stamp received at or before the given time.
-func (a *agentLink) newest(before clock.Millis) (clock.Millis, bool) {
+// newest returns the newest stamp received at or before the given time, unless it is too old to be used now.
+func (a *agentLink) newest(now, before clock.Millis) (clock.Millis, bool) {
 	for i := len(a.stamps) - 1; i >= 0; i-- {
 		if a.stamps[i].received <= before {
-			return a.stamps[i].stamp, true
+			return a.stamps[i].stamp, now-a.stamps[i].received <= stampAge
 		}
 	}
 	return 0, false
@@ -83,11 +117,13 @@
 	listed     int
 	leaseStart clock.Millis
 	confirmed  clock.Millis
-	gate       uint64
-	held       bool
-	parked     bool
-	stopping   bool
-	announce   bool
+	// born is the time at which the incarnation began.
+	born     clock.Millis
+	gate     uint64
+	held     bool
+	parked   bool
+	stopping bool
+	announce bool
 }
 
 func newCore(cfg Config) *core {
@@ -111,7 +147,7 @@
 		shares:  admission.NewShares(),
 		waiters: map[lavendercourse.JobID]chan struct{}{},
 		past:    map[lavendercourse.Incarnation]clock.Millis{},
-		parked:  true, announce: true,
+		parked:  true, announce: true, born: now, leaseStart: -1, confirmed: -1,
 	}
 	return c
 }
@@ -132,21 +168,28 @@
 
 // mayAnswer tells whether the entry holds its quorum lease.
 func (c *core) mayAnswer(now clock.Millis) bool {
-	return c.held && now-c.leaseStart <= c.quorumLease()
+	return c.held && c.leased(now)
+}
+
+// leased tells whether a majority has acknowledged a pulse of this incarnation lately enough.
+func (c *core) leased(now clock.Millis) bool {
+	return c.leaseStart >= c.born && now-c.leaseStart <= c.quorumLease()
 }
 
 // refresh works out what depends on the list, the acknowledgements and the configuration.
 func (c *core) refresh(now clock.Millis) {
-	c.leaseStart = c.quorum.LeaseStart(now, c.names)
-	if c.state.Based() {
-		c.confirmed = c.quorum.Confirmed(now, c.names, c.state.Version())
+	// What a majority of an earlier list has acknowledged stays true when the list grows.
+	c.leaseStart = max(c.leaseStart, c.quorum.LeaseStart(now, c.names))
+	settled := c.state.Based() && c.quorum.Settled(c.names, c.state.Version())
+	if settled {
+		c.confirmed = max(c.confirmed, c.quorum.Confirmed(now, c.names, c.state.Version()))
 	}
-	held := now-c.leaseStart <= c.quorumLease()
+	held := c.leased(now)
 	if c.held && !held {
 		c.endIncarnation(now)
 	}
 	c.held = held
-	parked := !c.state.Based() || now-c.confirmed > c.freshFor()
+	parked := !settled || now-c.confirmed > c.freshFor()
 	if parked != c.parked {
 		c.parked = parked
 		if parked {
@@ -166,7 +209,7 @@
 	c.past[c.jobs.Incarnation()] = now
 	c.cfg.Jobs.Incarnation = lavendercourse.NewIncarnation()
 	c.jobs = job.New(c.cfg.Jobs)
-	c.announce = true
+	c.announce, c.born = true, now
 }
 
 // settle hands out the answers of jobs that have ended and stops what still runs of them.
@@ -199,11 +242,29 @@
 	}
 	c.pumpQueue(now, c.calls, true)
 	c.pumpQueue(now, c.tasks, false)
+	if c.calls.Waiting()+c.tasks.Waiting() > 0 {
+		c.nudge(now)
+	}
+}
+
+// nudge asks the agents that have sent no stamp lately for one, so that they can get the tasks that wait.
+func (c *core) nudge(now clock.Millis) {
+	for _, a := range c.agents {
+		if a.link == nil || now-a.heard < stampSpacing || now-a.nudged < nudgePeriod {
+			continue
+		}
+		if _, ok := a.newest(now, c.confirmed); ok {
+			continue
+		}
+		a.nudged = now
+		c.renew(a, true)
+	}
 }
 
 func (c *core) pumpQueue(now clock.Millis, q *admission.Queue, call bool) {
-	for q.Waiting() > 0 {
-		item := q.Next(now)
+	skipped := map[lavendercourse.JobID]bool{}
+	for q.Waiting() > 0 && len(skipped) < maxSkipped {
+		item := q.Next(now, skipped)
 		if item == nil {
 			return
 		}
@@ -212,23 +273,29 @@
 			q.Remove(item.ID())
 			continue
 		}
-		if !c.place(now, q, item, j, call) {
+		if c.place(now, q, item, j, call) {
+			continue
+		}
+		if w := wantOf(j); w.Memory == 0 && w.Cores == 0 {
 			return
 		}
+		// Others with smaller needs may still find room.
+		skipped[item.ID()] = true
 	}
 }
 
 // place sends the next task of a job to an agent. It returns false if no agent has room.
 func (c *core) place(now clock.Millis, q *admission.Queue, item *admission.Item, j *job.Job, call bool) bool {
-	agent, ok := c.fleet.Pick(now, wantOf(j))
-	if !ok {
-		return false
+	want := wantOf(j)
+	want.Stamped = func(agent string) bool {
+		_, ok := c.agents[agent].newest(now, c.confirmed)
+		return ok
 	}
-	a := c.agents[agent]
-	stamp, ok := a.newest(c.confirmed)
+	agent, ok := c.fleet.Pick(now, want)
 	if !ok {
 		return false
 	}
+	stamp, _ := c.agents[agent].newest(now, c.confirmed)
 	as, ok := c.jobs.Take(now, j, agent)
 	if !ok {
 		q.Remove(item.ID())
@@ -253,6 +320,7 @@
 	if err != nil {
 		return err
 	}
+	c.agents[agent].stamp(now, d.Load.Stamp)
 	c.fleet.Report(agent, d.Load)
 	at := placement.Attempt{Key: lavendercourse.NewTaskKey(id, d.Task), Attempt: d.Attempt}
 	f, ok := c.flights[at]
@@ -276,6 +344,7 @@
 	q := c.queueOf(f.call)
 	if d.Status == message.StatusRefused && c.jobs.Returned(at.Key, f.agent, at.Attempt) {
 		q.Returned(f.item)
+		c.fleet.Pause(now, f.agent)
 		return
 	}
 	q.Freed(f.team)
@@ -313,6 +382,9 @@
 	c.jobs.Expire(now)
 	c.settle()
 	for name, a := range c.agents {
+		if a.link != nil && now-a.heard > silentAfter && c.fleet.Agent(name).Sent() > 0 {
+			a.link.Close()
+		}
 		if a.lost > 0 && now-a.lost > goneAfter {
 			delete(c.agents, name)
 			lost := c.fleet.Leave(name)
@@ -323,6 +395,7 @@
 	}
 	c.tasks.Forget()
 	c.calls.Forget()
+	c.quorum.Forget(now, 2*job.DefaultLifetime)
 	for inc, at := range c.past {
 		if now-at > 2*job.DefaultLifetime {
 			delete(c.past, inc)
@@ -365,10 +438,13 @@
 	return demand
 }
 
-// relisted applies a change of the entries list.
+// relisted applies a change of the entries list, if there is one.
 func (c *core) relisted() {
+	if c.listed == c.list.Revision() {
+		return
+	}
+	c.listed = c.list.Revision()
 	c.names = c.list.Names()
-	c.listed++
 	c.configured()
 	c.rehome()
 }
@@ -378,7 +454,11 @@
 	for _, a := range c.fleet.Agents() {
 		agents = append(agents, a.Hello().Name)
 	}
-	c.fleet.SetHomes(placement.Homes(agents, c.names))
+	homes := placement.Homes(agents, c.names)
+	c.fleet.SetHomes(homes)
+	for name, a := range c.agents {
+		a.home = homes[name] == c.cfg.Name
+	}
 }
 
 func (c *core) queueOf(call bool) *admission.Queue {
@@ -398,6 +478,22 @@
 	}
 }
 
+// renew answers a heartbeat, or asks for one.
+func (c *core) renew(a *agentLink, nudge bool) {
+	r := message.Renew{Version: c.gate, Backlog: c.tasks.Waiting(), Home: a.home, Now: nudge}
+	if inc := c.jobs.Incarnation(); a.incarnation != inc {
+		a.incarnation = inc
+		r.Incarnation = string(inc)
+	}
+	if a.told != c.listed {
+		a.told = c.listed
+		r.Peers = c.peersList()
+	}
+	if err := a.link.Send(message.TypeRenew, 0, r); err != nil {
+		a.link.Close()
+	}
+}
+
 func (c *core) peersList() []message.Peer {
 	entries := c.list.Entries()
 	peers := make([]message.Peer, len(entries))
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -356,6 +356,9 @@
 		v := lavendercourse.NoClaim(lavendercourse.ReasonExpired, "the job is not known here", 0)
 		return &dispatchv1.StatusResponse{Verdict: verdictOf(v)}
 	}
+	if j.Ended() && !d.mayAnswer(d.clock.Now()) {
+		return &dispatchv1.StatusResponse{Verdict: verdictOf(noLease())}
+	}
 	resp := &dispatchv1.StatusResponse{Waiting: uint32(j.Waiting()), Running: uint32(j.Sent()), Finished: uint32(j.Done())}
 	if j.Ended() {
 		resp.Verdict = verdictOf(j.Verdict())
@@ -375,6 +378,9 @@
 		v := lavendercourse.NoClaim(lavendercourse.ReasonExpired, "the job is not known here", 0)
 		return &dispatchv1.CancelResponse{Verdict: verdictOf(v)}
 	}
+	if j.Ended() && !d.mayAnswer(now) {
+		return &dispatchv1.CancelResponse{Verdict: verdictOf(noLease())}
+	}
 	d.jobs.Fail(now, j, lavendercourse.ReasonCancelled, "the job was cancelled")
 	d.settle()
 	d.pump(now)
@@ -425,6 +431,11 @@
 	}
 }
 
+// noLease is told about an ended job while another entry may have declared this one gone.
+func noLease() lavendercourse.Verdict {
+	return lavendercourse.NoClaim(lavendercourse.ReasonAgain, "the owner of the job has no quorum lease at the moment", retryAgain)
+}
+
 func stillRunning() lavendercourse.Verdict {
 	return lavendercourse.NoClaim(lavendercourse.ReasonAgain, "the wait ended before the job; ask again with the same id", 1)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,11 +78,31 @@
 	}
 	e.follower.leave(ctx)
 	err := e.callers.Shutdown(ctx)
+	e.flush(ctx)
 	e.Kill()
 	event.Stopped.On(e.core.logger).Send()
 	return err
 }
 
+// flush waits until the last forwarded requests are answered and all frames are written.
+func (e *Entry) flush(ctx context.Context) {
+	e.router.peer.forwards.Wait()
+	e.core.mu.Lock()
+	var links []*link.Link
+	for _, l := range e.core.peers {
+		links = append(links, l)
+	}
+	for _, a := range e.core.agents {
+		if a.link != nil {
+			links = append(links, a.link)
+		}
+	}
+	e.core.mu.Unlock()
+	for _, l := range links {
+		l.Flush(ctx)
+	}
+}
+
 // Kill ends the entry at once.
 func (e *Entry) Kill() {
 	e.cancel()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -33,6 +33,11 @@
 	*core
 	ctx    context.Context
 	server server
+	// forwards counts the forwarded requests that are being answered.
+	forwards sync.WaitGroup
+	// incarnations holds the one that each entry told last, and told the one of this entry that was told on a link.
+	incarnations map[string]lavendercourse.Incarnation
+	told         map[*link.Link]lavendercourse.Incarnation
 
 	waitMu sync.Mutex
 	number uint64
@@ -40,7 +45,16 @@
 }
 
 func newExchange(ctx context.Context, c *core) *exchange {
-	return &exchange{core: c, ctx: ctx, waits: map[uint64]awaited{}}
+	return &exchange{
+		core: c, ctx: ctx, waits: map[uint64]awaited{},
+		incarnations: map[string]lavendercourse.Incarnation{}, told: map[*link.Link]lavendercourse.Incarnation{},
+	}
+}
+
+// named returns the name of the entry on the other side of a link.
+func (x *exchange) named(l *link.Link) string {
+	who, _ := l.Tag().(remote)
+	return who.name
 }
 
 // frame handles a frame from the named entry.
@@ -66,10 +80,10 @@
 		if err := f.DecodeBody(&m); err != nil {
 			return err
 		}
-		go func() {
+		x.forwards.Go(func() {
 			// A link that broke meanwhile loses the reply; the caller asks again.
 			_ = l.Send(message.TypeReply, f.Number, x.server.forwarded(x.ctx, m))
-		}()
+		})
 	case message.TypeReply, message.TypeHeard:
 		x.answered(f)
 	}
@@ -84,18 +98,18 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.clock.Now()
-	inc := lavendercourse.Incarnation(p.Incarnation)
-	x.quorum.Heard(now, inc)
+	if p.Incarnation != "" {
+		x.list.Observe(name, lavendercourse.Incarnation(p.Incarnation))
+		x.incarnations[name] = lavendercourse.Incarnation(p.Incarnation)
+	}
+	x.quorum.Heard(now, x.incarnations[name])
 	x.quorum.Told(name, p.Version)
-	x.list.Observe(name, inc)
 	demand := make(map[string]int, len(p.Demand))
 	for _, d := range p.Demand {
 		demand[d.Team] = d.Tasks
 	}
 	x.shares.Report(now, name, demand)
-	return l.Send(message.TypeAck, 0, message.Ack{
-		Stamp: p.Stamp, Incarnation: string(x.jobs.Incarnation()), Version: x.state.Version(),
-	})
+	return l.Send(message.TypeAck, 0, message.Ack{Stamp: p.Stamp, Version: x.ownVersion()})
 }
 
 func (x *exchange) ack(name string, f message.Frame) error {
@@ -106,9 +120,6 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.clock.Now()
-	inc := lavendercourse.Incarnation(a.Incarnation)
-	x.quorum.Heard(now, inc)
-	x.list.Observe(name, inc)
 	x.quorum.Acknowledged(name, a.Stamp, a.Version)
 	x.refresh(now)
 	x.pump(now)
@@ -153,16 +164,24 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.clock.Now()
-	p := message.Pulse{
-		Stamp: now, Incarnation: string(x.jobs.Incarnation()), Version: x.state.Version(), Offset: x.state.Offset(),
-	}
-	p.Demand = x.limitedDemand()
+	p := message.Pulse{Stamp: now, Version: x.ownVersion(), Demand: x.limitedDemand()}
+	inc := x.jobs.Incarnation()
 	x.limit()
 	x.pump(now)
 	for _, l := range x.peers {
+		p.Incarnation = ""
+		if x.told[l] != inc {
+			x.told[l] = inc
+			p.Incarnation = string(inc)
+		}
 		// A link that cannot take the frame closes itself.
 		_ = l.Send(message.TypePulse, 0, p)
 	}
+	for l := range x.told {
+		if x.peers[x.named(l)] != l {
+			delete(x.told, l)
+		}
+	}
 	newest := x.quorum.Newest(x.names, x.state.Version())
 	if newest == "" && !x.state.Based() {
 		for name := range x.peers {
@@ -175,6 +194,14 @@
 	}
 }
 
+// ownVersion returns the configuration version to tell other entries.
+func (x *exchange) ownVersion() uint64 {
+	if !x.state.Based() || !x.quorum.Settled(x.names, x.state.Version()) {
+		return message.VersionUnknown
+	}
+	return x.state.Version()
+}
+
 // limitedDemand returns the demand of the teams that have a quota. The others need no share.
 func (x *exchange) limitedDemand() []message.Demand {
 	var limited []message.Demand
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -113,10 +113,8 @@
 		f.mu.Lock()
 		f.list.Apply(page)
 		atEnd := f.list.Offset()+1 >= page.Next
-		if len(page.Records) > 0 {
-			f.relisted()
-			f.refresh(f.clock.Now())
-		}
+		f.relisted()
+		f.refresh(f.clock.Now())
 		f.mu.Unlock()
 		if atEnd {
 			return nil
--- a/entry/link.go
+++ b/entry/link.go
@@ -121,7 +121,9 @@
 func (r *router) linkPeer(l *link.Link, a member.Announcement) {
 	r.peers[a.Name] = l
 	r.list.Learn(a)
-	r.quorum.Heard(r.clock.Now(), lavendercourse.Incarnation(a.Incarnation))
+	inc := lavendercourse.Incarnation(a.Incarnation)
+	r.peer.incarnations[a.Name] = inc
+	r.quorum.Heard(r.clock.Now(), inc)
 	r.relisted()
 }
 
@@ -135,7 +137,7 @@
 	if a.link != nil && a.link != l {
 		a.link.Close()
 	}
-	a.link, a.lost, a.stamps, a.told = l, 0, nil, r.listed
+	a.link, a.lost, a.stamps, a.told, a.incarnation, a.heard = l, 0, nil, r.listed, r.jobs.Incarnation(), now
 	event.AgentJoined.On(r.logger).Str("agent", h.Name).Str("domain", h.Domain).Int("slots", h.Slots).Send()
 	if lost := r.fleet.Join(now, h); len(lost) > 0 {
 		r.abandon(now, h.Name, lost)
@@ -166,11 +168,11 @@
 	}
 	switch f.Type {
 	case message.TypeBeat:
-		var b message.Beat
-		if err := f.DecodeBody(&b); err != nil {
+		var load message.Load
+		if err := f.DecodeBody(&load); err != nil {
 			return err
 		}
-		return r.beat(name, a, b)
+		r.beat(name, a, load)
 	case message.TypeDone:
 		var d message.Done
 		if err := f.DecodeBody(&d); err != nil {
@@ -184,23 +186,10 @@
 	return nil
 }
 
-func (r *router) beat(name string, a *agentLink, b message.Beat) error {
+func (r *router) beat(name string, a *agentLink, load message.Load) {
 	now := r.clock.Now()
-	a.stamps = append(a.stamps, stamped{received: now, stamp: b.Stamp})
-	if len(a.stamps) > stampsKept {
-		a.stamps = a.stamps[1:]
-	}
-	r.fleet.Report(name, b.Load)
-	renew := message.Renew{
-		Stamp: b.Stamp, Incarnation: string(r.jobs.Incarnation()), Version: r.gate, Backlog: r.tasks.Waiting(),
-	}
-	if a.told != r.listed {
-		a.told = r.listed
-		renew.Peers = r.peersList()
-	}
-	if err := a.link.Send(message.TypeRenew, 0, renew); err != nil {
-		return err
-	}
+	a.stamp(now, load.Stamp)
+	r.fleet.Report(name, load)
+	r.renew(a, false)
 	r.pump(now)
-	return nil
 }
--- a/link/link.go
+++ b/link/link.go
@@ -2,6 +2,7 @@
 package link
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -27,8 +28,10 @@
 	// defaultQueue is the number of frames that may wait for a slow reader before the link is closed.
 	defaultQueue = 8192
 	writeTimeout = 5 * time.Second
-	// defaultSilence closes a link on which nothing was read for this long. Heartbeats are sent every second.
-	defaultSilence = 5 * time.Second
+	flushPoll    = 2 * time.Millisecond
+	// defaultSilence closes a link on which nothing was read for this long. Heartbeats on links that are not used come
+	// every five seconds.
+	defaultSilence = 12 * time.Second
 )
 
 // Handler receives the frames of a link, one at a time in the order of arrival. An error closes the link.
@@ -56,6 +59,8 @@
 	done   chan struct{}
 	once   sync.Once
 	closed atomic.Bool
+	// unsent is the number of frames that were queued and not yet written.
+	unsent atomic.Int64
 	tag    atomic.Value
 }
 
@@ -82,6 +87,7 @@
 				if l.write(b) != nil {
 					return
 				}
+				l.unsent.Add(-1)
 			}
 		}
 	}()
@@ -106,6 +112,7 @@
 	if l.closed.Load() {
 		return ErrClosed
 	}
+	l.unsent.Add(1)
 	select {
 	case l.queue <- b:
 		l.cfg.Counters.sent(t, len(b))
@@ -116,6 +123,21 @@
 	}
 }
 
+// Flush waits until all queued frames are written, or the link or ctx has ended.
+func (l *Link) Flush(ctx context.Context) {
+	t := time.NewTicker(flushPoll)
+	defer t.Stop()
+	for l.unsent.Load() > 0 {
+		select {
+		case <-t.C:
+		case <-l.done:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close ends the link. Frames that still wait are lost.
 func (l *Link) Close() {
 	l.once.Do(func() {
--- a/member/list.go
+++ b/member/list.go
@@ -64,6 +64,8 @@
 	newest  clock.Millis
 	entries map[string]listed
 	owners  map[lavendercourse.Incarnation]string
+	// revision counts the changes of entries, so that repeated announcements cause no work.
+	revision int
 }
 
 // NewList returns an empty list.
@@ -88,24 +90,38 @@
 		}
 		l.owners[lavendercourse.Incarnation(a.Incarnation)] = a.Name
 		if a.Leave {
-			delete(l.entries, a.Name)
+			l.drop(a.Name)
 			continue
 		}
+		if l.entries[a.Name].announcement != a {
+			l.revision++
+		}
 		l.entries[a.Name] = listed{announcement: a, at: r.Time}
 	}
 	// Only the log decides who leaves: while it is down nobody does.
 	for name, e := range l.entries {
 		if l.newest-e.at > Expiry {
-			delete(l.entries, name)
+			l.drop(name)
 		}
 	}
 }
 
+func (l *List) drop(name string) {
+	if _, ok := l.entries[name]; ok {
+		l.revision++
+		delete(l.entries, name)
+	}
+}
+
+// Revision returns a number that changes when the list does.
+func (l *List) Revision() int { return l.revision }
+
 // Learn adds what a peer told, for an entry that has not read the log yet.
 func (l *List) Learn(a Announcement) {
 	l.owners[lavendercourse.Incarnation(a.Incarnation)] = a.Name
 	if _, ok := l.entries[a.Name]; !ok && l.offset == 0 {
 		l.entries[a.Name] = listed{announcement: a}
+		l.revision++
 	}
 }
 
--- a/member/quorum.go
+++ b/member/quorum.go
@@ -27,6 +27,10 @@
 	Fresh clock.Millis
 }
 
+// unknown is the version that an entry tells which may have forgotten changes. It is higher than any other, so that
+// its acknowledgements confirm no version.
+const unknown = ^uint64(0)
+
 type acknowledged struct {
 	// stamp is the time at which the acknowledged pulse was sent, by the clock of this entry.
 	stamp   clock.Millis
@@ -71,8 +75,11 @@
 	q.Told(name, version)
 }
 
-// Told takes note of the configuration version of another entry.
+// Told takes note of the configuration version of another entry, unless it does not know its own.
 func (q *Quorum) Told(name string, version uint64) {
+	if version == unknown {
+		return
+	}
 	q.versions[name] = max(q.versions[name], version)
 }
 
@@ -119,6 +126,27 @@
 	return n > len(list)/2
 }
 
+// Settled tells whether this entry knows all changes that may have been accepted before it started. It does once it has
+// read the log, or once a majority of the list, itself not counted, has told its version and this entry has the highest
+// of them. Without this rule, an entry that was replaced while the log was down could help to confirm an old version.
+func (q *Quorum) Settled(list []string, version uint64) bool {
+	if q.log >= 0 {
+		return true
+	}
+	n := 0
+	for _, name := range list {
+		v, ok := q.versions[name]
+		if name == q.cfg.Name || !ok {
+			continue
+		}
+		if v > version {
+			return false
+		}
+		n++
+	}
+	return n > len(list)/2
+}
+
 // Newest returns an entry that has told a higher configuration version than the given one, or "".
 func (q *Quorum) Newest(list []string, version uint64) string {
 	newest := ""
--- a/message/body.go
+++ b/message/body.go
@@ -40,34 +40,37 @@
 	Peers       []Peer `cbor:"peers"`
 }
 
-// Load is what an agent tells with every beat and done, so that no probes are needed.
+// Load is what an agent tells with every beat and done, so that no probes are needed. It is sent as an array, since
+// heartbeats are most of what processes send to each other while there is little work.
 type Load struct {
+	_ struct{} `cbor:",toarray"`
+	// Stamp is the time of the message by the agent's clock.
+	Stamp clock.Millis
 	// Running is the number of slots in use, for all entries.
-	Running int `cbor:"running"`
+	Running int
 	// Pending is the number of accepted tasks that wait for a slot.
-	Pending int `cbor:"pending,omitempty"`
-	// Calls is the number of connections in use.
-	Calls int `cbor:"calls,omitempty"`
+	Pending int
+	// Calls is the number of connections in use for calls.
+	Calls int
 	// Window is the number of unfinished tasks that the receiving entry may have on this agent.
-	Window int `cbor:"window"`
+	Window int
 }
 
-// Beat is the heartbeat of an agent.
-type Beat struct {
-	// Stamp is the time of the beat by the agent's clock.
-	Stamp clock.Millis `cbor:"stamp"`
-	Load  Load         `cbor:"load"`
-}
-
-// Renew answers a beat and renews the leases of the sender's tasks.
+// Renew answers a beat and renews the leases of the sender's tasks. It is sent as an array like Load.
 type Renew struct {
-	Stamp       clock.Millis `cbor:"stamp"`
-	Incarnation string       `cbor:"incarnation"`
-	// Version is the configuration version of the entry.
-	Version uint64 `cbor:"version"`
+	_ struct{} `cbor:",toarray"`
+	// Version is that of the newest change of a failure domain's state which the entry knows.
+	Version uint64
 	// Backlog is the number of tasks that wait at the entry.
-	Backlog int    `cbor:"backlog,omitempty"`
-	Peers   []Peer `cbor:"peers,omitempty"`
+	Backlog int
+	// Home asks for a heartbeat every second, since the entry prefers this agent.
+	Home bool
+	// Now asks for a heartbeat at once, since the entry has work and knows no recent stamp.
+	Now bool
+	// Incarnation is set when it has changed since the last renew or welcome on this link.
+	Incarnation string
+	// Peers is set when the list has changed since the last renew or welcome on this link.
+	Peers []Peer
 }
 
 // Start proposes a task or call.
@@ -148,20 +151,26 @@
 	Tasks int    `cbor:"tasks"`
 }
 
-// Pulse is the heartbeat between entries.
+// VersionUnknown is told in place of a configuration version by an entry that may have forgotten changes: one that
+// was restarted and has neither read the log nor heard a majority of the other entries since.
+const VersionUnknown = ^uint64(0)
+
+// Pulse is the heartbeat between entries. It is sent as an array like Load.
 type Pulse struct {
-	Stamp       clock.Millis `cbor:"stamp"`
-	Incarnation string       `cbor:"incarnation"`
-	Version     uint64       `cbor:"version"`
-	Offset      uint64       `cbor:"offset"`
-	Demand      []Demand     `cbor:"demand,omitempty"`
+	_ struct{} `cbor:",toarray"`
+	// Stamp is the time by the sender's clock.
+	Stamp   clock.Millis
+	Version uint64
+	// Incarnation is set when it has changed since the last pulse or hello on this link.
+	Incarnation string
+	Demand      []Demand
 }
 
-// Ack answers a pulse.
+// Ack answers a pulse. It is sent as an array like Load.
 type Ack struct {
-	Stamp       clock.Millis `cbor:"stamp"`
-	Incarnation string       `cbor:"incarnation"`
-	Version     uint64       `cbor:"version"`
+	_       struct{} `cbor:",toarray"`
+	Stamp   clock.Millis
+	Version uint64
 }
 
 // Forward carries a request to the entry that owns its job.
--- a/message/frame_test.go
+++ b/message/frame_test.go
@@ -10,13 +10,13 @@
 
 // Guards against a frame whose body is lost or altered on the way.
 func TestFrameRoundTrip(t *testing.T) {
-	b, err := message.Encode(message.TypeBeat, 7, message.Beat{Stamp: 42, Load: message.Load{Running: 3, Window: 9}})
+	b, err := message.Encode(message.TypeBeat, 7, message.Load{Stamp: 42, Running: 3, Window: 9})
 	assert.NilError(t, err)
 	f, err := message.Decode(b)
 	assert.NilError(t, err)
 	assert.Equal(t, f.Type, message.TypeBeat)
 	assert.Equal(t, f.Number, uint64(7))
-	var got message.Beat
+	var got message.Load
 	assert.NilError(t, f.DecodeBody(&got))
-	assert.DeepEqual(t, got, message.Beat{Stamp: 42, Load: message.Load{Running: 3, Window: 9}})
+	assert.DeepEqual(t, got, message.Load{Stamp: 42, Running: 3, Window: 9})
 }
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -11,6 +11,9 @@
 	"github.com/lavendercourse/lavendercourse/message"
 )
 
+// refusalPause is the time in ms for which an agent that refused a start gets nothing.
+const refusalPause = 100 * clock.Millis(1)
+
 // Config holds what a fleet needs to know about its entry.
 type Config struct {
 	// Policy chooses among the agents with room.
@@ -38,7 +41,8 @@
 	home    bool
 	leaving bool
 	health  health
-	index   int
+	// paused is the time until which the agent gets nothing, after it refused a start.
+	paused clock.Millis
 }
 
 // Hello returns what the agent said of itself.
@@ -133,6 +137,14 @@
 // Agents returns all agents in the order of their names.
 func (f *Fleet) Agents() []*Agent { return f.order }
 
+// Pause keeps an agent that refused a start from getting more for a moment. Otherwise the same task would be sent to
+// and refused by the same agent once every round trip.
+func (f *Fleet) Pause(now clock.Millis, name string) {
+	if a := f.agents[name]; a != nil {
+		a.paused = now + refusalPause
+	}
+}
+
 // SetLeaving takes note that an agent takes no more work.
 func (f *Fleet) SetLeaving(name string) {
 	if a := f.agents[name]; a != nil {
@@ -240,7 +252,10 @@
 }
 
 func (f *Fleet) usable(now clock.Millis, a *Agent, want Want, bound int) bool {
-	if a.leaving || f.drained[a.hello.Domain] || !want.fits(a.hello) || a.hello.Name == want.Avoid {
+	if a.leaving || now < a.paused || f.drained[a.hello.Domain] || !want.fits(a.hello) || a.hello.Name == want.Avoid {
+		return false
+	}
+	if want.Stamped != nil && !want.Stamped(a.hello.Name) {
 		return false
 	}
 	if want.Call {
--- a/placement/want.go
+++ b/placement/want.go
@@ -11,6 +11,8 @@
 	Cores  int
 	// Avoid names an agent that must not be chosen.
 	Avoid string
+	// Stamped tells whether there is a stamp of the agent that a start can carry. Nil means always.
+	Stamped func(agent string) bool
 }
 
 func (w Want) fits(h message.Hello) bool {
--- a/slot/table.go
+++ b/slot/table.go
@@ -226,9 +226,9 @@
 }
 
 // Renew handles the answer to a beat: it renews the leases of all tasks of the entry's incarnation.
-func (t *Table) Renew(now clock.Millis, entry string, r message.Renew) {
+func (t *Table) Renew(now clock.Millis, entry string, owner lavendercourse.Incarnation, r message.Renew) {
 	t.use(entry).backlog = r.Backlog
-	t.leases[lavendercourse.Incarnation(r.Incarnation)] = now
+	t.leases[owner] = now
 	if r.Version > t.version {
 		t.version = r.Version
 	}
--- a/standin/peers/agents.go
+++ b/standin/peers/agents.go
@@ -18,7 +18,11 @@
 // ErrPeers is returned when the stand-ins cannot be linked.
 var ErrPeers = eris.New("stand-in peers cannot be linked")
 
-const beatPeriod = time.Second
+const (
+	beatPeriod = time.Second
+	// idleBeats is the number of periods between the heartbeats on a link that is not used.
+	idleBeats = 5
+)
 
 // AgentsConfig describes a set of agents.
 type AgentsConfig struct {
@@ -46,6 +50,9 @@
 type fakeAgent struct {
 	set     *Agents
 	running atomic.Int64
+	// home is what the entry told last, and busy whether a done was sent since the last look.
+	home atomic.Bool
+	busy atomic.Bool
 }
 
 // NewAgents links the agents to the entry. They send heartbeats until Close is called.
@@ -70,7 +77,7 @@
 			time.Sleep(beatPeriod * time.Duration(i) / time.Duration(cfg.Count))
 			t := time.NewTicker(beatPeriod)
 			defer t.Stop()
-			for a.beat(l) == nil {
+			for n := 0; a.beat(l, n) == nil; n++ {
 				select {
 				case <-ctx.Done():
 					return
@@ -101,19 +108,43 @@
 	}
 }
 
-func (a *fakeAgent) beat(l *link.Link) error {
-	return l.Send(message.TypeBeat, 0, message.Beat{Stamp: a.set.clock.Now(), Load: a.load()})
+// beat sends a heartbeat when a real agent would: every second to the entry that prefers it, every five seconds on
+// other links, and not where the answers to starts stand for it.
+func (a *fakeAgent) beat(l *link.Link, n int) error {
+	if a.busy.Swap(false) || (n%idleBeats != 0 && !a.home.Load() && a.running.Load() == 0) {
+		return nil
+	}
+	return l.Send(message.TypeBeat, 0, a.load())
 }
 
 func (a *fakeAgent) load() message.Load {
-	return message.Load{Running: int(a.running.Load()), Window: 9}
+	return message.Load{Stamp: a.set.clock.Now(), Running: int(a.running.Load()), Window: 9}
 }
 
-// Frame answers a start as done after the hold time.
+// Frame answers starts as done after the hold time, and requests for a heartbeat.
 func (a *fakeAgent) Frame(l *link.Link, f message.Frame) error {
-	if f.Type != message.TypeStart {
-		return nil
+	switch f.Type {
+	case message.TypeRenew:
+		return a.renewed(l, f)
+	case message.TypeStart:
+		return a.start(l, f)
 	}
+	return nil
+}
+
+func (a *fakeAgent) renewed(l *link.Link, f message.Frame) error {
+	var r message.Renew
+	if err := f.DecodeBody(&r); err != nil {
+		return err
+	}
+	a.home.Store(r.Home)
+	if r.Now {
+		return l.Send(message.TypeBeat, 0, a.load())
+	}
+	return nil
+}
+
+func (a *fakeAgent) start(l *link.Link, f message.Frame) error {
 	var s message.Start
 	if err := f.DecodeBody(&s); err != nil {
 		return err
@@ -122,6 +153,7 @@
 	a.running.Add(1)
 	time.AfterFunc(a.set.cfg.Hold.Duration(), func() {
 		a.running.Add(-1)
+		a.busy.Store(true)
 		// The measured process sees a link that broke.
 		_ = l.Send(message.TypeDone, 0, message.Done{
 			Job: s.Job, Task: s.Task, Attempt: s.Attempt, Status: message.StatusDone, Result: s.Payload,
--- a/standin/peers/entries.go
+++ b/standin/peers/entries.go
@@ -84,7 +84,7 @@
 			announced = time.Now()
 			e.announce(ctx, log)
 		}
-		p := message.Pulse{Stamp: e.clock.Now(), Incarnation: e.incarnation, Version: e.version.Load()}
+		p := message.Pulse{Stamp: e.clock.Now(), Version: e.version.Load()}
 		if l.Send(message.TypePulse, 0, p) != nil {
 			return
 		}
@@ -115,7 +115,7 @@
 		return err
 	}
 	e.version.Store(max(e.version.Load(), p.Version))
-	return l.Send(message.TypeAck, 0, message.Ack{Stamp: p.Stamp, Incarnation: e.incarnation, Version: e.version.Load()})
+	return l.Send(message.TypeAck, 0, message.Ack{Stamp: p.Stamp, Version: e.version.Load()})
 }
 
 // Closed does nothing: the measured process sees it.
--- a/standin/peers/slope_test.go
+++ b/standin/peers/slope_test.go
@@ -70,7 +70,7 @@
 }
 
 var slopes = []slope{
-	{"agents", "linked agents", []float64{100, 200, 400, 800}, func(x float64) scene { return scene{agents: int(x)} }},
+	{"agents", "linked agents", []float64{100, 200, 400, 800}, func(x float64) scene { return scene{agents: int(x), entries: 3} }},
 	{"entries", "other entries", []float64{2, 8, 16, 32, 47}, func(x float64) scene { return scene{agents: 100, entries: int(x)} }},
 	{"starts", "task starts/s", []float64{250, 500, 1000, 2000, 4000}, func(x float64) scene {
 		return scene{agents: 400, rate: int(x), teams: 10, hold: 300, jobTasks: 100}
