Count every record that the tables remember

The proofs check that the memory of both tables becomes empty again. The number of tasks alone does not show a leak of results, leases, entries or reserved blocks.

--- a/job/table.go
+++ b/job/table.go
@@ -290,6 +290,9 @@
 // Live returns the number of jobs without an answer.
 func (t *Table) Live() int { return len(t.jobs) - len(t.ended) }
 
+// Remembered returns the number of jobs and reserved blocks in memory.
+func (t *Table) Remembered() int { return len(t.jobs) + len(t.blocks) }
+
 func (t *Table) current(key lavendercourse.TaskKey, agent string, attempt uint32) (*Job, *progress) {
 	j := t.jobs[key.Job()]
 	if j == nil || j.ended || int(key.Task()) >= len(j.tasks) {
--- a/slot/table.go
+++ b/slot/table.go
@@ -279,8 +279,10 @@
 // Busy returns the number of accepted tasks and calls that have not ended.
 func (t *Table) Busy() int { return len(t.active) }
 
-// Remembered returns the number of tasks in memory.
-func (t *Table) Remembered() int { return len(t.tasks) }
+// Remembered returns the number of records in memory: tasks, kept results, leases and entries.
+func (t *Table) Remembered() int {
+	return max(len(t.tasks), len(t.past)) + len(t.kept) + len(t.leases) + len(t.entries)
+}
 
 // Load returns what the table tells the named entry in beats and dones.
 func (t *Table) Load(entry string) message.Load {
