Let a task wait while no connection is free

Cause: a task started as soon as a slot was free, although it uses a connection too, as the configuration of the table says. With all connections taken by calls, an agent ran more work than its backend server has connections. Ruled out: the count of calls, which stays within the connections. Before: the state-machine test of package proof reports "4 tasks and calls run on 3 connections" within 100 histories. After: no report within 20,000 histories.

--- a/slot/table.go
+++ b/slot/table.go
@@ -152,7 +152,7 @@
 		t.version = s.Version
 	}
 	t.active[key] = n
-	if s.Call || t.running < t.cfg.Slots {
+	if s.Call || t.free() {
 		return []Action{t.begin(now, n)}, nil
 	}
 	n.state = statePending
@@ -320,12 +320,17 @@
 		return "start was decided under an old failure domain state"
 	case t.running+t.calls >= t.cfg.Connections && s.Call:
 		return "no connection is free"
-	case !s.Call && t.running >= t.cfg.Slots && t.pending >= t.cfg.Slots:
+	case !s.Call && !t.free() && t.pending >= t.cfg.Slots:
 		return "no slot is free"
 	}
 	return ""
 }
 
+// free tells whether one more task can run. A task uses a connection as well as a slot.
+func (t *Table) free() bool {
+	return t.running < t.cfg.Slots && t.running+t.calls < t.cfg.Connections
+}
+
 // repeat answers a start for a task that is known already.
 func (t *Table) repeat(old *task, entry string, attempt uint32) []Action {
 	old.entry = t.move(old, entry)
@@ -402,7 +407,7 @@
 // fill starts pending tasks while slots are free. The validity of a start is checked again, since it may have waited.
 func (t *Table) fill(now clock.Millis) []Action {
 	var actions []Action
-	for t.running < t.cfg.Slots && t.pending > 0 {
+	for t.free() && t.pending > 0 {
 		n := t.nextPending()
 		t.unqueue(n)
 		if why := t.refusal(now, n.start); why != "" {
