Assign no task after the deadline of its job

Cause: an agent forgets a task 330 s after its end and then answers "never received" when asked about it. An owner that was paused for longer took this as a refusal, because its job had not been expired yet, and sent the task again. Ruled out: a start that arrives late (its stamp is refused) and a stop or resume that arrives before its start. Before: the state-machine test of package proof reports "runs for the second time" in about one of 3,000 histories: the owner is paused for 72 s with a lifetime of 30 s and a memory of 60 s, links again, resumes and places before it expires its jobs. After: no report within 20,000 histories.

--- a/job/table.go
+++ b/job/table.go
@@ -187,9 +187,10 @@
 	return j
 }
 
-// Take assigns the next waiting task of a job to an agent.
+// Take assigns the next waiting task of a job to an agent. It returns false after the deadline: agents remember a task
+// only for the lifetime of its job and a margin, so a refusal that an owner reads later says nothing.
 func (t *Table) Take(now clock.Millis, j *Job, agent string) (Assignment, bool) {
-	if j.ended || len(j.waiting) == 0 {
+	if j.ended || len(j.waiting) == 0 || now >= j.spec.Deadline {
 		return Assignment{}, false
 	}
 	index := j.waiting[len(j.waiting)-1]
