Renew no lease by a start that is refused

Cause: the lease of an incarnation was renewed before the start was judged, so a start that was delayed beyond its validity, or repeated after its owner had ended, kept the tasks of that owner running for another 10 s. Ruled out: renewals by another incarnation, which have a lease of their own. Before: the scenario "a start that is refused does not keep the lease" gets no halt 10 s after the last accepted start. After: it gets it.

--- a/slot/table.go
+++ b/slot/table.go
@@ -144,7 +144,6 @@
 	t.order++
 	n := &task{key: key, entry: entry, start: s, order: t.order}
 	t.tasks[key] = n
-	t.leases[key.Job().Incarnation()] = now
 	if why := t.refusal(now, s); why != "" {
 		return []Action{t.refuse(now, n, why)}, nil
 	}
@@ -152,6 +151,7 @@
 		t.version = s.Version
 	}
 	t.active[key] = n
+	t.leases[key.Job().Incarnation()] = now
 	if s.Call || t.free() {
 		return []Action{t.begin(now, n)}, nil
 	}
