Tell a result that is too large to be kept once

Cause: a result above the bound on kept bytes was dropped before the done message was made, so that the first answer was already "unknown" and the job failed although its task had ended well. Ruled out: the default bound of 16 MiB is above the largest frame, so only a smaller setting showed the fault. Before: the scenario "a result too large to keep is told once" reports "unknown 0 result is no longer kept" at the end of the task. After: it reports "done 0".

--- a/slot/table.go
+++ b/slot/table.go
@@ -183,9 +183,12 @@
 		Status: status, Result: result, Error: failure, Run: now - n.began,
 	}
 	t.retire(now, n)
-	t.keep(n)
+	n.kept = true
 	next := t.fill(now)
-	return append([]Action{t.reply(n)}, next...)
+	reply := t.reply(n)
+	// The result is told once even if it is too large to be kept.
+	t.keep(n)
+	return append([]Action{reply}, next...)
 }
 
 // Stop handles a request to stop tasks. Tasks not seen yet are barred from starting.
@@ -467,7 +470,6 @@
 
 // keep retains the result of an ended task for a resume, within the bound on bytes.
 func (t *Table) keep(n *task) {
-	n.kept = true
 	t.kept = append(t.kept, n)
 	t.bytes += len(n.done.Result)
 	for t.bytes > t.cfg.KeepBytes {
