Expire and refuse tasks in the order of their arrival

Cause: Expire and Leave followed the order of a map, so the same events gave different actions and a recorded history could not be repeated. Before: TestTableOrderIsRepeatable reports the halts and refusals in another order in most runs. After: it passes in every run of 200.

--- a/slot/table.go
+++ b/slot/table.go
@@ -3,6 +3,8 @@
 package slot
 
 import (
+	"sort"
+
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/message"
@@ -247,10 +249,10 @@
 // Expire stops tasks whose lease has ended and forgets what was remembered long enough.
 func (t *Table) Expire(now clock.Millis) []Action {
 	var actions []Action
-	for key, n := range t.active {
-		if now-t.leases[key.Job().Incarnation()] <= t.cfg.Lease {
-			continue
-		}
+	expired := t.activeIf(func(n *task) bool {
+		return now-t.leases[n.key.Job().Incarnation()] > t.cfg.Lease
+	})
+	for _, n := range expired {
 		if n.state == statePending {
 			t.unqueue(n)
 			actions = append(actions, t.refuse(now, n, "lease ended"))
@@ -258,7 +260,7 @@
 		}
 		if !n.stopping {
 			n.stopping = true
-			actions = append(actions, Halt{Key: key})
+			actions = append(actions, Halt{Key: n.key})
 		}
 	}
 	actions = append(actions, t.fill(now)...)
@@ -270,13 +272,23 @@
 func (t *Table) Leave(now clock.Millis) []Action {
 	t.leaving = true
 	var actions []Action
+	for _, n := range t.activeIf(func(n *task) bool { return n.state == statePending }) {
+		t.unqueue(n)
+		actions = append(actions, t.refuse(now, n, "agent is leaving"))
+	}
+	return actions
+}
+
+// activeIf returns the accepted tasks for which a condition holds, in the order of their arrival.
+func (t *Table) activeIf(holds func(*task) bool) []*task {
+	var tasks []*task
 	for _, n := range t.active {
-		if n.state == statePending {
-			t.unqueue(n)
-			actions = append(actions, t.refuse(now, n, "agent is leaving"))
+		if holds(n) {
+			tasks = append(tasks, n)
 		}
 	}
-	return actions
+	sort.Slice(tasks, func(i, j int) bool { return tasks[i].order < tasks[j].order })
+	return tasks
 }
 
 // Busy returns the number of accepted tasks and calls that have not ended.
