Expire and fail jobs in the order of their ids

Cause: Expire and FailAll followed the order of a map, so the same events gave answers and stops in another order. Before: TestJobsEndInOrder reports another order in every run. After: it passes in each of 20 runs.

--- a/job/table.go
+++ b/job/table.go
@@ -3,6 +3,8 @@
 package job
 
 import (
+	"sort"
+
 	"github.com/rotisserie/eris"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
@@ -256,17 +258,15 @@
 
 // FailAll ends every job. It is called when the incarnation ends.
 func (t *Table) FailAll(now clock.Millis, reason lavendercourse.Reason, text string) {
-	for _, j := range t.jobs {
+	for _, j := range t.openIf(func(*Job) bool { return true }) {
 		t.Fail(now, j, reason, text)
 	}
 }
 
 // Expire fails the jobs whose deadline has passed and forgets those that were kept long enough.
 func (t *Table) Expire(now clock.Millis) {
-	for _, j := range t.jobs {
-		if !j.ended && now >= j.spec.Deadline {
-			t.Fail(now, j, lavendercourse.ReasonDeadline, "the deadline passed")
-		}
+	for _, j := range t.openIf(func(j *Job) bool { return now >= j.spec.Deadline }) {
+		t.Fail(now, j, lavendercourse.ReasonDeadline, "the deadline passed")
 	}
 	for len(t.ended) > 0 && now-t.ended[0].finished > t.cfg.Keep {
 		t.forgetOldest()
@@ -294,6 +294,18 @@
 // Remembered returns the number of jobs and reserved blocks in memory.
 func (t *Table) Remembered() int { return len(t.jobs) + len(t.blocks) }
 
+// openIf returns the jobs without an answer for which a condition holds, in the order of their ids.
+func (t *Table) openIf(holds func(*Job) bool) []*Job {
+	var jobs []*Job
+	for _, j := range t.jobs {
+		if !j.ended && holds(j) {
+			jobs = append(jobs, j)
+		}
+	}
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].id.Sequence() < jobs[b].id.Sequence() })
+	return jobs
+}
+
 func (t *Table) current(key lavendercourse.TaskKey, agent string, attempt uint32) (*Job, *progress) {
 	j := t.jobs[key.Job()]
 	if j == nil || j.ended || int(key.Task()) >= len(j.tasks) {
