--- a/job/table.go
+++ b/job/table.go
@@ -3,6 +3,8 @@
 package job
 
 import (
+	"sort"
+
 	"github.com/rotisserie/eris"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
@@ -187,9 +189,10 @@
 	return j
 }
 
-// Take assigns the next waiting task of a job to an agent.
+// Take assigns the next waiting task of a job to an agent. It returns false after the deadline: agents remember a task
+// only for the lifetime of its job and a margin, so a refusal that an owner reads later says nothing.
 func (t *Table) Take(now clock.Millis, j *Job, agent string) (Assignment, bool) {
-	if j.ended || len(j.waiting) == 0 {
+	if j.ended || len(j.waiting) == 0 || now >= j.spec.Deadline {
 		return Assignment{}, false
 	}
 	index := j.waiting[len(j.waiting)-1]
@@ -255,17 +258,15 @@
 
 // FailAll ends every job. It is called when the incarnation ends.
 func (t *Table) FailAll(now clock.Millis, reason lavendercourse.Reason, text string) {
-	for _, j := range t.jobs {
+	for _, j := range t.openIf(func(*Job) bool { return true }) {
 		t.Fail(now, j, reason, text)
 	}
 }
 
 // Expire fails the jobs whose deadline has passed and forgets those that were kept long enough.
 func (t *Table) Expire(now clock.Millis) {
-	for _, j := range t.jobs {
-		if !j.ended && now >= j.spec.Deadline {
-			t.Fail(now, j, lavendercourse.ReasonDeadline, "the deadline passed")
-		}
+	for _, j := range t.openIf(func(j *Job) bool { return now >= j.spec.Deadline }) {
+		t.Fail(now, j, lavendercourse.ReasonDeadline, "the deadline passed")
 	}
 	for len(t.ended) > 0 && now-t.ended[0].finished > t.cfg.Keep {
 		t.forgetOldest()
@@ -290,6 +291,21 @@
 // Live returns the number of jobs without an answer.
 func (t *Table) Live() int { return len(t.jobs) - len(t.ended) }
 
+// Remembered returns the number of jobs and reserved blocks in memory.
+func (t *Table) Remembered() int { return len(t.jobs) + len(t.blocks) }
+
+// openIf returns the jobs without an answer for which a condition holds, in the order of their ids.
+func (t *Table) openIf(holds func(*Job) bool) []*Job {
+	var jobs []*Job
+	for _, j := range t.jobs {
+		if !j.ended && holds(j) {
+			jobs = append(jobs, j)
+		}
+	}
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].id.Sequence() < jobs[b].id.Sequence() })
+	return jobs
+}
+
 func (t *Table) current(key lavendercourse.TaskKey, agent string, attempt uint32) (*Job, *progress) {
 	j := t.jobs[key.Job()]
 	if j == nil || j.ended || int(key.Task()) >= len(j.tasks) {
--- a/slot/table.go
+++ b/slot/table.go
@@ -3,6 +3,8 @@
 package slot
 
 import (
+	"sort"
+
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/message"
@@ -144,7 +146,6 @@
 	t.order++
 	n := &task{key: key, entry: entry, start: s, order: t.order}
 	t.tasks[key] = n
-	t.leases[key.Job().Incarnation()] = now
 	if why := t.refusal(now, s); why != "" {
 		return []Action{t.refuse(now, n, why)}, nil
 	}
@@ -152,7 +153,8 @@
 		t.version = s.Version
 	}
 	t.active[key] = n
-	if s.Call || t.running < t.cfg.Slots {
+	t.leases[key.Job().Incarnation()] = now
+	if s.Call || t.free() {
 		return []Action{t.begin(now, n)}, nil
 	}
 	n.state = statePending
@@ -183,9 +185,12 @@
 		Status: status, Result: result, Error: failure, Run: now - n.began,
 	}
 	t.retire(now, n)
-	t.keep(n)
+	n.kept = true
 	next := t.fill(now)
-	return append([]Action{t.reply(n)}, next...)
+	reply := t.reply(n)
+	// The result is told once even if it is too large to be kept.
+	t.keep(n)
+	return append([]Action{reply}, next...)
 }
 
 // Stop handles a request to stop tasks. Tasks not seen yet are barred from starting.
@@ -244,10 +249,10 @@
 // Expire stops tasks whose lease has ended and forgets what was remembered long enough.
 func (t *Table) Expire(now clock.Millis) []Action {
 	var actions []Action
-	for key, n := range t.active {
-		if now-t.leases[key.Job().Incarnation()] <= t.cfg.Lease {
-			continue
-		}
+	expired := t.activeIf(func(n *task) bool {
+		return now-t.leases[n.key.Job().Incarnation()] > t.cfg.Lease
+	})
+	for _, n := range expired {
 		if n.state == statePending {
 			t.unqueue(n)
 			actions = append(actions, t.refuse(now, n, "lease ended"))
@@ -255,7 +260,7 @@
 		}
 		if !n.stopping {
 			n.stopping = true
-			actions = append(actions, Halt{Key: key})
+			actions = append(actions, Halt{Key: n.key})
 		}
 	}
 	actions = append(actions, t.fill(now)...)
@@ -267,20 +272,32 @@
 func (t *Table) Leave(now clock.Millis) []Action {
 	t.leaving = true
 	var actions []Action
+	for _, n := range t.activeIf(func(n *task) bool { return n.state == statePending }) {
+		t.unqueue(n)
+		actions = append(actions, t.refuse(now, n, "agent is leaving"))
+	}
+	return actions
+}
+
+// activeIf returns the accepted tasks for which a condition holds, in the order of their arrival.
+func (t *Table) activeIf(holds func(*task) bool) []*task {
+	var tasks []*task
 	for _, n := range t.active {
-		if n.state == statePending {
-			t.unqueue(n)
-			actions = append(actions, t.refuse(now, n, "agent is leaving"))
+		if holds(n) {
+			tasks = append(tasks, n)
 		}
 	}
-	return actions
+	sort.Slice(tasks, func(i, j int) bool { return tasks[i].order < tasks[j].order })
+	return tasks
 }
 
 // Busy returns the number of accepted tasks and calls that have not ended.
 func (t *Table) Busy() int { return len(t.active) }
 
-// Remembered returns the number of tasks in memory.
-func (t *Table) Remembered() int { return len(t.tasks) }
+// Remembered returns the number of records in memory: tasks, kept results, leases and entries.
+func (t *Table) Remembered() int {
+	return max(len(t.tasks), len(t.past)) + len(t.kept) + len(t.leases) + len(t.entries)
+}
 
 // Load returns what the table tells the named entry in beats and dones.
 func (t *Table) Load(entry string) message.Load {
@@ -318,12 +335,17 @@
 		return "start was decided under an old failure domain state"
 	case t.running+t.calls >= t.cfg.Connections && s.Call:
 		return "no connection is free"
-	case !s.Call && t.running >= t.cfg.Slots && t.pending >= t.cfg.Slots:
+	case !s.Call && !t.free() && t.pending >= t.cfg.Slots:
 		return "no slot is free"
 	}
 	return ""
 }
 
+// free tells whether one more task can run. A task uses a connection as well as a slot.
+func (t *Table) free() bool {
+	return t.running < t.cfg.Slots && t.running+t.calls < t.cfg.Connections
+}
+
 // repeat answers a start for a task that is known already.
 func (t *Table) repeat(old *task, entry string, attempt uint32) []Action {
 	old.entry = t.move(old, entry)
@@ -400,7 +422,7 @@
 // fill starts pending tasks while slots are free. The validity of a start is checked again, since it may have waited.
 func (t *Table) fill(now clock.Millis) []Action {
 	var actions []Action
-	for t.running < t.cfg.Slots && t.pending > 0 {
+	for t.free() && t.pending > 0 {
 		n := t.nextPending()
 		t.unqueue(n)
 		if why := t.refusal(now, n.start); why != "" {
@@ -460,7 +482,6 @@
 
 // keep retains the result of an ended task for a resume, within the bound on bytes.
 func (t *Table) keep(n *task) {
-	n.kept = true
 	t.kept = append(t.kept, n)
 	t.bytes += len(n.done.Result)
 	for t.bytes > t.cfg.KeepBytes {
