--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -343,7 +343,9 @@
 
 func (w *world) beat(a *agent) {
 	for _, o := range w.owners {
-		w.send(o, a, false, message.Beat{Stamp: w.agentTime(a), Load: a.table.Load(o.name())})
+		load := a.table.Load(o.name())
+		load.Stamp = w.agentTime(a)
+		w.send(o, a, false, load)
 	}
 }
 
@@ -359,9 +361,9 @@
 		return
 	}
 	switch m := p.body.(type) {
-	case message.Beat:
+	case message.Load:
 		l.stamps = append(l.stamps, stamped{w.ownerTime(o), m.Stamp})
-		w.send(o, a, true, message.Renew{Stamp: m.Stamp, Incarnation: string(o.table.Incarnation()), Version: o.version})
+		w.send(o, a, true, message.Renew{Incarnation: string(o.table.Incarnation()), Version: o.version})
 	case message.Done:
 		id, err := lavendercourse.ParseJobID(m.Job)
 		if err != nil {
@@ -388,7 +390,7 @@
 		case message.Resume:
 			actions, err = a.table.Resume(now, name, m.Tasks)
 		case message.Renew:
-			a.table.Renew(now, name, m)
+			a.table.Renew(now, name, lavendercourse.Incarnation(m.Incarnation), m)
 		}
 	}
 	if err != nil {
--- a/slot/table_test.go
+++ b/slot/table_test.go
@@ -75,7 +75,7 @@
 	}
 	renew := func(at clock.Millis, inc string, version uint64) func(x *Table) []Action {
 		return func(x *Table) []Action {
-			x.Renew(at, "e", message.Renew{Incarnation: inc, Version: version})
+			x.Renew(at, "e", lavendercourse.Incarnation(inc), message.Renew{Version: version})
 			return nil
 		}
 	}
@@ -230,8 +230,8 @@
 				_, err := x.Start(base, "other", start(uint32(i), 1))
 				assert.NilError(t, err)
 			}
-			x.Renew(base, "e", message.Renew{Backlog: tc.mine})
-			x.Renew(base, "other", message.Renew{Backlog: tc.other})
+			x.Renew(base, "e", "o", message.Renew{Backlog: tc.mine})
+			x.Renew(base, "other", "p", message.Renew{Backlog: tc.other})
 			assert.Equal(t, x.Load("e").Window, tc.want)
 		})
 	}
