Trace jobs from the caller to the backend server

Each hop adds a span to one W3C trace: the caller, the entry, the forward to the owning entry, the job, each start, the agent and the request to the backend server. The traceparent travels in HTTP headers and in the start and forward messages, and only if the trace is recorded.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
+	"go.opentelemetry.io/otel/trace"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
@@ -17,6 +18,7 @@
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/slot"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // ErrStart is returned when an agent cannot start.
@@ -49,6 +51,8 @@
 	// Counters may be shared with others to count their messages together.
 	Counters *link.Counters
 	Dialer   *link.Dialer
+	// Tracer may be set to trace tasks whose start names a trace.
+	Tracer *telemetry.Tracer
 }
 
 // Agent is one running agent.
@@ -199,7 +203,10 @@
 	w := lavendercourse.Work{Key: r.Key, Kind: r.Kind, Payload: r.Payload, Lease: a.lease()}
 	go func() {
 		defer cancel()
+		ctx, span := a.cfg.Tracer.Continue(ctx, r.Trace, trace.SpanKindServer, "agent run")
 		status, result, failure := a.work(ctx, r.Call, w)
+		telemetry.Fail(span, failure)
+		span.End()
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		delete(a.running, r.Key)
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -10,10 +10,12 @@
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/lavendercourse/lavendercourse/clock"
 	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
 	"github.com/lavendercourse/lavendercourse/schema/dispatch/v1/dispatchv1connect"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // Errors of this package.
@@ -37,6 +39,8 @@
 	Pause clock.Millis
 	// HTTP may be set to use other connections than the default ones.
 	HTTP *http.Client
+	// Tracer may be set to trace requests.
+	Tracer *telemetry.Tracer
 }
 
 // Client submits jobs and calls. It is safe for use by several goroutines.
@@ -60,7 +64,8 @@
 	if cfg.HTTP == nil {
 		cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 	}
-	return &Client{cfg: cfg, dispatch: dispatchv1connect.NewDispatchServiceClient(cfg.HTTP, "http://"+cfg.Address)}
+	traced := connect.WithInterceptors(cfg.Tracer.Interceptor())
+	return &Client{cfg: cfg, dispatch: dispatchv1connect.NewDispatchServiceClient(cfg.HTTP, "http://"+cfg.Address, traced)}
 }
 
 // Reserve returns an unused job id. Most calls need no request.
@@ -80,6 +85,8 @@
 // Submit runs a job and waits for its answer. If the request has no id, one is reserved. A lost answer, or one that
 // makes no claim yet, leads to a resubmission with the same id until ctx ends.
 func (c *Client) Submit(ctx context.Context, req *dispatchv1.SubmitRequest) (*dispatchv1.SubmitResponse, error) {
+	ctx, span := c.cfg.Tracer.Begin(ctx, trace.SpanKindInternal, "caller submit")
+	defer span.End()
 	reserved := req.GetId() == ""
 	if reserved {
 		id, err := c.Reserve(ctx)
@@ -139,6 +146,8 @@
 
 // Call sends one call. It is not repeated here, since a lost answer says nothing about whether the call ran.
 func (c *Client) Call(ctx context.Context, req *dispatchv1.CallRequest) (*dispatchv1.CallResponse, error) {
+	ctx, span := c.cfg.Tracer.Begin(ctx, trace.SpanKindInternal, "caller call")
+	defer span.End()
 	resp, err := c.dispatch.Call(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, translate(err)
--- a/entry/config.go
+++ b/entry/config.go
@@ -13,6 +13,7 @@
 	"github.com/lavendercourse/lavendercourse/job"
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/member"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // Errors of this package.
@@ -62,4 +63,6 @@
 	Counters  *link.Counters
 	Dialer    *link.Dialer
 	Seed      uint64
+	// Tracer may be set to trace requests and tasks.
+	Tracer *telemetry.Tracer
 }
--- a/entry/core.go
+++ b/entry/core.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/admission"
@@ -15,6 +16,7 @@
 	"github.com/lavendercourse/lavendercourse/member"
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/placement"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // stampsKept is the number of heartbeats of an agent that are remembered. A start uses the newest one that came before
@@ -52,6 +54,8 @@
 	item  *admission.Item
 	call  bool
 	team  string
+	// span covers the start until it ended. It is nil if the job is not traced.
+	span trace.Span
 }
 
 // core is the state of an entry. All of it is guarded by mu.
@@ -74,6 +78,8 @@
 	flights map[placement.Attempt]flight
 	waiters map[lavendercourse.JobID]chan struct{}
 	past    map[lavendercourse.Incarnation]clock.Millis
+	// spans holds the spans of the jobs that are traced.
+	spans map[lavendercourse.JobID]trace.Span
 
 	// names is the entries list, and leaseStart and confirmed what follows from it; see refresh.
 	names      []string
@@ -106,6 +112,7 @@
 		flights: map[placement.Attempt]flight{},
 		waiters: map[lavendercourse.JobID]chan struct{}{},
 		past:    map[lavendercourse.Incarnation]clock.Millis{},
+		spans:   map[lavendercourse.JobID]trace.Span{},
 		parked:  true, announce: true,
 	}
 	return c
@@ -168,6 +175,7 @@
 func (c *core) settle() {
 	for _, j := range c.jobs.Ended() {
 		delete(c.items, j.ID())
+		c.endJob(j)
 		c.tasks.Remove(j.ID())
 		c.calls.Remove(j.ID())
 		if v := j.Verdict(); v.Outcome == lavendercourse.Failed {
@@ -231,13 +239,15 @@
 	}
 	q.Took(item)
 	at := placement.Attempt{Key: as.Key, Attempt: as.Attempt}
-	c.flights[at] = flight{agent: agent, item: item, call: call, team: item.Team()}
+	span := c.beginTask(j.ID(), at, agent)
+	c.flights[at] = flight{agent: agent, item: item, call: call, team: item.Team(), span: span}
 	c.fleet.Sent(now, agent, at, call)
 	c.send(agent, message.TypeStart, message.Start{
 		Job: as.Key.Job().String(), Task: as.Key.Task(), Attempt: as.Attempt, Call: call,
 		Kind: as.Task.Kind, Class: uint8(item.Class()), Payload: as.Task.Payload,
 		Stamp: stamp, Agent: c.fleet.Agent(agent).Hello().Incarnation, Version: c.gate,
 		Backlog: c.tasks.Waiting(), Declared: as.Task.Declared,
+		Trace: telemetry.Parent(span),
 	})
 	return true
 }
@@ -264,6 +274,7 @@
 
 // landed applies the end of a start to its job.
 func (c *core) landed(now clock.Millis, at placement.Attempt, f flight, d message.Done) {
+	endTask(f.span, d)
 	q := c.queueOf(f.call)
 	if d.Status == message.StatusRefused && c.jobs.Returned(at.Key, f.agent, at.Attempt) {
 		q.Returned(f.item)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/protobuf/proto"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
@@ -155,6 +156,8 @@
 	if err != nil {
 		return message.Reply{Error: err.Error()}
 	}
+	ctx, span := d.cfg.Tracer.Continue(ctx, f.Trace, trace.SpanKindServer, "forward "+f.Method)
+	defer span.End()
 	var resp proto.Message
 	switch m := req.(type) {
 	case *dispatchv1.SubmitRequest:
@@ -220,7 +223,7 @@
 
 func (d *dispatcher) submit(ctx context.Context, id lavendercourse.JobID, m *dispatchv1.SubmitRequest) *dispatchv1.SubmitResponse {
 	d.mu.Lock()
-	j, v := d.accept(id, specOf(m))
+	j, v := d.accept(ctx, id, specOf(m))
 	if v != nil {
 		d.mu.Unlock()
 		return &dispatchv1.SubmitResponse{Verdict: verdictOf(*v)}
@@ -237,7 +240,7 @@
 }
 
 // accept finds or starts a job. It returns a verdict if there is no job to wait for.
-func (d *dispatcher) accept(id lavendercourse.JobID, spec job.Spec) (*job.Job, *lavendercourse.Verdict) {
+func (d *dispatcher) accept(ctx context.Context, id lavendercourse.JobID, spec job.Spec) (*job.Job, *lavendercourse.Verdict) {
 	now := d.clock.Now()
 	j, v, err := d.jobs.Check(now, id, spec.Digest)
 	switch {
@@ -247,6 +250,7 @@
 	case v != nil:
 		return nil, v
 	case j != nil:
+		d.joinJob(ctx, j)
 		return j, nil
 	}
 	if v := d.admit(now, spec); v != nil {
@@ -256,7 +260,7 @@
 	if spec.Deadline > 0 {
 		spec.Deadline += now
 	}
-	return d.enqueue(now, id, spec), nil
+	return d.enqueue(ctx, now, id, spec), nil
 }
 
 // admit tells why a new job is refused, or returns nil.
@@ -284,7 +288,7 @@
 	return true
 }
 
-func (d *dispatcher) enqueue(now clock.Millis, id lavendercourse.JobID, spec job.Spec) *job.Job {
+func (d *dispatcher) enqueue(ctx context.Context, now clock.Millis, id lavendercourse.JobID, spec job.Spec) *job.Job {
 	j := d.jobs.Add(now, id, spec)
 	var run clock.Millis
 	for _, t := range spec.Tasks {
@@ -292,6 +296,7 @@
 	}
 	item := admission.NewItem(now, id, spec.Team, spec.Class, len(spec.Tasks), run/clock.Millis(len(spec.Tasks)))
 	d.items[id] = item
+	d.beginJob(ctx, j)
 	d.queueOf(spec.Call).Push(item)
 	d.pump(now)
 	return j
@@ -378,7 +383,7 @@
 	if spec.Deadline > 0 {
 		spec.Deadline += now
 	}
-	j := d.enqueue(now, d.jobs.Internal(), spec)
+	j := d.enqueue(ctx, now, d.jobs.Internal(), spec)
 	wait := d.wait(j)
 	d.mu.Unlock()
 	select {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
@@ -13,6 +14,7 @@
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/member"
 	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // askTimeout bounds the wait for the answers to an ask.
@@ -216,8 +218,12 @@
 	if l == nil {
 		return message.Reply{}, eris.Wrapf(errUnsent, "no link to the owner %q", name)
 	}
+	ctx, span := x.cfg.Tracer.Child(ctx, trace.SpanKindClient, "forward "+m.Method)
+	defer span.End()
+	m.Trace = telemetry.Parent(span)
 	f, err := x.request(ctx, l, message.TypeForward, m)
 	if err != nil {
+		telemetry.Fail(span, err.Error())
 		return message.Reply{}, err
 	}
 	var r message.Reply
--- a/message/body.go
+++ b/message/body.go
@@ -109,6 +109,16 @@
 	StatusUnknown Status = 5
 )
 
+var statusNames = [...]string{"invalid", "done", "failed", "refused", "stopped", "unknown"}
+
+// String returns the name of the status, as used in metrics.
+func (s Status) String() string {
+	if int(s) >= len(statusNames) {
+		return statusNames[0]
+	}
+	return statusNames[s]
+}
+
 // Done tells the end of a start.
 type Done struct {
 	Job     string `cbor:"job"`
--- a/outcome.go
+++ b/outcome.go
@@ -17,6 +17,16 @@
 	Unknown Outcome = 4
 )
 
+var outcomeNames = [...]string{"invalid", "complete", "failed", "refused", "unknown"}
+
+// String returns the name of the outcome, as used in metrics.
+func (o Outcome) String() string {
+	if int(o) >= len(outcomeNames) {
+		return outcomeNames[0]
+	}
+	return outcomeNames[o]
+}
+
 // Reason says why an outcome is not complete. The numbers are those of the schema.
 type Reason uint8
 
@@ -37,6 +47,19 @@
 	ReasonInvalid    Reason = 13
 )
 
+var reasonNames = [...]string{
+	"none", "cancelled", "deadline", "task", "worker", "owner", "full", "quota", "impossible", "stopping", "conflict",
+	"expired", "again", "invalid",
+}
+
+// String returns the name of the reason, as used in metrics.
+func (r Reason) String() string {
+	if int(r) >= len(reasonNames) {
+		return reasonNames[len(reasonNames)-1]
+	}
+	return reasonNames[r]
+}
+
 // Verdict tells what became of a job or call.
 type Verdict struct {
 	Outcome Outcome
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -13,12 +13,15 @@
 
 	workerv1 "github.com/lavendercourse/lavendercourse/schema/worker/v1"
 	"github.com/lavendercourse/lavendercourse/schema/worker/v1/workerv1connect"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // Config describes the stand-in.
 type Config struct {
 	Name   string
 	Domain string
+	// Tracer may be set to trace requests.
+	Tracer *telemetry.Tracer
 }
 
 // Faults are what the stand-in does wrong. They can be changed while it runs.
@@ -65,7 +68,7 @@
 
 // Register serves the worker on a router.
 func (w *Worker) Register(r *mux.Router) {
-	path, handler := workerv1connect.NewWorkerServiceHandler(w)
+	path, handler := workerv1connect.NewWorkerServiceHandler(w, connect.WithInterceptors(w.cfg.Tracer.Interceptor()))
 	r.PathPrefix(path).Handler(handler)
 }
 
--- /dev/null
+++ b/telemetry/trace_test.go
@@ -0,0 +1,257 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
+	"github.com/lavendercourse/lavendercourse/telemetry"
+)
+
+const (
+	submitPath = "/dispatch.v1.DispatchService/Submit"
+	runPath    = "/worker.v1.WorkerService/Run"
+)
+
+// parents names the parent of each span of a job that was submitted through an entry that does not own it.
+var parents = map[string]string{
+	"caller-1 internal caller submit": "",
+	"caller-1 client " + submitPath:   "caller-1 internal caller submit",
+	"entry-1 server " + submitPath:    "caller-1 client " + submitPath,
+	"entry-1 client forward submit":   "entry-1 server " + submitPath,
+	"entry-2 server forward submit":   "entry-1 client forward submit",
+	"entry-2 internal job":            "entry-2 server forward submit",
+	"entry-2 client task":             "entry-2 internal job",
+	"agent-1 server agent run":        "entry-2 client task",
+	"agent-1 client " + runPath:       "agent-1 server agent run",
+	"worker-1 server " + runPath:      "agent-1 client " + runPath,
+}
+
+// Guards against a hop that drops the trace or names the wrong parent.
+func TestTraceCoversEveryHop(t *testing.T) {
+	s := newSite(t)
+	id, err := s.client(t, 1, nil).Reserve(t.Context())
+	assert.NilError(t, err)
+	s.spans.Reset()
+	c := s.client(t, 0, s.tracer(t, "caller", "caller-1"))
+	resp, err := submit(t.Context(), c, id, "sleep", "5", 2)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.GetVerdict().GetOutcome(), dispatchv1.Outcome_OUTCOME_COMPLETE)
+
+	spans := s.spans.GetSpans()
+	byID := map[trace.SpanID]tracetest.SpanStub{}
+	for _, span := range spans {
+		byID[span.SpanContext.SpanID()] = span
+	}
+	seen := map[string]bool{}
+	var of trace.TraceID
+	for _, span := range spans {
+		name := label(span)
+		seen[name] = true
+		parent := ""
+		if p, ok := byID[span.Parent.SpanID()]; ok {
+			parent = label(p)
+		}
+		want, ok := parents[name]
+		assert.Assert(t, ok, "unexpected span %s", name)
+		assert.Equal(t, parent, want, name)
+		if !of.IsValid() {
+			of = span.SpanContext.TraceID()
+		}
+		assert.Equal(t, span.SpanContext.TraceID(), of, name)
+		if span.Name == "task" {
+			assert.Equal(t, len(span.Links), 1)
+			assert.Equal(t, label(byID[span.Links[0].SpanContext.SpanID()]), "entry-2 internal job")
+		}
+	}
+	for name := range parents {
+		assert.Assert(t, seen[name], "span %s is missing", name)
+	}
+	t.Log("\n" + tree(spans, trace.SpanID{}, ""))
+}
+
+// Guards against a resubmission whose trace does not lead to the job that it joined.
+func TestResubmissionLinksToJob(t *testing.T) {
+	s := newSite(t)
+	c := s.client(t, 0, s.tracer(t, "caller", "caller-1"))
+	id, err := c.Reserve(t.Context())
+	assert.NilError(t, err)
+	s.spans.Reset()
+	first := make(chan error, 1)
+	go func() {
+		_, err := submit(t.Context(), c, id, "hang", "", 1)
+		first <- err
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if resp, err := c.Status(t.Context(), id); err != nil || resp.GetRunning() != 1 {
+			return poll.Continue("the job does not run: %v %v", resp, err)
+		}
+		return poll.Success()
+	}, patience...)
+	var link trace.SpanContext
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, _ = submit(ctx, c, id, "hang", "", 1)
+		for _, span := range s.spans.GetSpans() {
+			if span.Name == submitPath && span.SpanKind == trace.SpanKindServer && len(span.Links) == 1 {
+				link = span.Links[0].SpanContext
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no resubmission has a link")
+	}, patience...)
+	_, err = c.Cancel(t.Context(), id)
+	assert.NilError(t, err)
+	assert.NilError(t, <-first)
+	var jobs []trace.SpanContext
+	for _, span := range s.spans.GetSpans() {
+		if span.Name == "job" {
+			jobs = append(jobs, span.SpanContext)
+		}
+	}
+	assert.Equal(t, len(jobs), 1)
+	assert.Equal(t, link.SpanID(), jobs[0].SpanID())
+}
+
+func label(s tracetest.SpanStub) string {
+	name := ""
+	for _, a := range s.Resource.Attributes() {
+		if a.Key == "service.instance.id" {
+			name = a.Value.AsString()
+		}
+	}
+	return name + " " + s.SpanKind.String() + " " + s.Name
+}
+
+// tree returns the spans below the given one, indented, with their lengths.
+func tree(spans tracetest.SpanStubs, parent trace.SpanID, indent string) string {
+	sort.Slice(spans, func(i, j int) bool { return spans[i].StartTime.Before(spans[j].StartTime) })
+	var text strings.Builder
+	for _, s := range spans {
+		if s.Parent.SpanID() == parent {
+			text.WriteString(indent + label(s) + " " + s.EndTime.Sub(s.StartTime).Round(10_000).String() + "\n")
+			text.WriteString(tree(append(tracetest.SpanStubs(nil), spans...), s.SpanContext.SpanID(), indent+"  "))
+		}
+	}
+	return text.String()
+}
+
+// Guards against traces that are recorded although the share or the sender says otherwise.
+func TestSampling(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		share float64
+		flags string
+		want  int
+	}{
+		{name: "share 0 records no new trace", share: 0, want: 0},
+		{name: "share 1 records every new trace", share: 1, want: 1},
+		{name: "the sender records", share: 0, flags: "01", want: 1},
+		{name: "the sender does not record", share: 1, flags: "00", want: 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			spans := tracetest.NewInMemoryExporter()
+			tracer, err := telemetry.NewTracer(t.Context(), telemetry.TraceConfig{Share: tc.share, Spans: spans})
+			assert.NilError(t, err)
+			parent := ""
+			if tc.flags != "" {
+				parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-" + tc.flags
+			}
+			var span trace.Span
+			if parent == "" {
+				_, span = tracer.Begin(t.Context(), trace.SpanKindServer, "hop")
+			} else {
+				_, span = tracer.Continue(t.Context(), parent, trace.SpanKindServer, "hop")
+			}
+			span.End()
+			assert.Equal(t, len(spans.GetSpans()), tc.want)
+		})
+	}
+}
+
+// Guards against an exporter that loses spans or a name that is taken silently.
+func TestExporters(t *testing.T) {
+	var out bytes.Buffer
+	requests := make(chan string, 10)
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { requests <- r.URL.Path }))
+	defer collector.Close()
+	for _, tc := range []struct {
+		name string
+		cfg  telemetry.TraceConfig
+	}{
+		{name: "none", cfg: telemetry.TraceConfig{Exporter: telemetry.ExportNone}},
+		{name: "stdout", cfg: telemetry.TraceConfig{Exporter: telemetry.ExportStdout, Share: 1, Out: &out}},
+		{name: "otlp", cfg: telemetry.TraceConfig{Exporter: telemetry.ExportOTLP, Share: 1, Endpoint: collector.URL + "/v1/traces"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tracer, err := telemetry.NewTracer(t.Context(), tc.cfg)
+			assert.NilError(t, err)
+			_, span := tracer.Begin(t.Context(), trace.SpanKindServer, "hop "+tc.name)
+			span.End()
+			assert.NilError(t, tracer.Close(t.Context()))
+		})
+	}
+	assert.Assert(t, strings.Contains(out.String(), "hop stdout"))
+	assert.Equal(t, <-requests, "/v1/traces")
+	_, err := telemetry.NewTracer(t.Context(), telemetry.TraceConfig{Exporter: "file"})
+	assert.ErrorIs(t, err, telemetry.ErrExporter)
+}
+
+// hops is what tracing adds to the way of one task.
+func hops(ctx context.Context, t *telemetry.Tracer, job trace.Span) {
+	task := t.Linked(job, "task")
+	ctx, run := t.Continue(ctx, telemetry.Parent(task), trace.SpanKindServer, "agent run")
+	_, call := t.Child(ctx, trace.SpanKindClient, runPath)
+	call.End()
+	run.End()
+	if task != nil {
+		task.End()
+	}
+}
+
+// Guards against tracing that costs allocations for a task that is not traced.
+func TestUntracedTaskAllocatesNothing(t *testing.T) {
+	tracer, err := telemetry.NewTracer(t.Context(), telemetry.TraceConfig{Share: 0, Spans: tracetest.NewNoopExporter()})
+	assert.NilError(t, err)
+	ctx := t.Context()
+	assert.Equal(t, testing.AllocsPerRun(100, func() { hops(ctx, nil, nil) }), 0.0)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { hops(ctx, tracer, nil) }), 0.0)
+}
+
+func BenchmarkTask(b *testing.B) {
+	spans := tracetest.NewNoopExporter()
+	for _, bc := range []struct {
+		name  string
+		share float64
+		on    bool
+	}{{name: "off"}, {name: "unsampled", on: true}, {name: "sampled", on: true, share: 1}} {
+		b.Run(bc.name, func(b *testing.B) {
+			var tracer *telemetry.Tracer
+			var job trace.Span
+			if bc.on {
+				var err error
+				tracer, err = telemetry.NewTracer(b.Context(), telemetry.TraceConfig{Share: bc.share, Spans: spans})
+				assert.NilError(b, err)
+			}
+			if bc.share > 0 {
+				_, job = tracer.Begin(b.Context(), trace.SpanKindInternal, "job")
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				hops(b.Context(), tracer, job)
+			}
+		})
+	}
+}
--- a/worker/client.go
+++ b/worker/client.go
@@ -11,6 +11,7 @@
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	workerv1 "github.com/lavendercourse/lavendercourse/schema/worker/v1"
 	"github.com/lavendercourse/lavendercourse/schema/worker/v1/workerv1connect"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // ErrUnanswered is returned when the backend server did not answer. The work may have run.
@@ -22,6 +23,8 @@
 	Address string
 	// Connections bounds the connections that are kept open.
 	Connections int
+	// Tracer may be set to trace the requests of traced tasks.
+	Tracer *telemetry.Tracer
 }
 
 // Client implements lavendercourse.Backend.
@@ -32,7 +35,8 @@
 // New returns a client. It connects when it is used.
 func New(cfg Config) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: cfg.Connections, MaxConnsPerHost: 2 * cfg.Connections}
-	return &Client{rpc: workerv1connect.NewWorkerServiceClient(&http.Client{Transport: transport}, "http://"+cfg.Address)}
+	traced := connect.WithInterceptors(cfg.Tracer.Interceptor())
+	return &Client{rpc: workerv1connect.NewWorkerServiceClient(&http.Client{Transport: transport}, "http://"+cfg.Address, traced)}
 }
 
 // Run starts a task and waits for its end.
