Serve metrics of entries and agents

Each entry and agent has its own set, served at /metrics in the Prometheus text format: on the callers port of an entry and, if it has a listener for it, on a port of the agent. Entries and agents that share a process share no counters. The names of teams come from callers and are escaped.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -186,6 +186,24 @@
 // Waiting returns the number of waiting tasks.
 func (q *Queue) Waiting() int { return q.waiting }
 
+// Usage is what one team has in the queue.
+type Usage struct {
+	Team    string
+	Waiting int
+	Running int
+}
+
+// Usage returns the teams that have waiting or running tasks.
+func (q *Queue) Usage() []Usage {
+	var all []Usage
+	for name, t := range q.teams {
+		if t.waiting+t.running > 0 {
+			all = append(all, Usage{Team: name, Waiting: t.waiting, Running: t.running})
+		}
+	}
+	return all
+}
+
 // Demand returns for each team the number of tasks that wait or run.
 func (q *Queue) Demand() map[string]int {
 	demand := map[string]int{}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -53,6 +54,8 @@
 	Dialer   *link.Dialer
 	// Tracer may be set to trace tasks whose start names a trace.
 	Tracer *telemetry.Tracer
+	// Metrics accepts connections that read the metrics of the agent. It may be nil.
+	Metrics net.Listener
 }
 
 // Agent is one running agent.
@@ -62,6 +65,8 @@
 	cancel context.CancelFunc
 	done   <-chan error
 
+	measures *measures
+
 	mu    sync.Mutex
 	table *slot.Table
 	links map[string]*link.Link
@@ -93,14 +98,19 @@
 	a := &Agent{
 		cfg: cfg, ctx: ctx, cancel: cancel, table: slot.New(cfg.Slots),
 		links: map[string]*link.Link{}, entries: map[string]string{},
-		running: map[lavendercourse.TaskKey]context.CancelFunc{},
+		running:  map[lavendercourse.TaskKey]context.CancelFunc{},
+		measures: newMeasures(telemetry.NewMetrics(cfg.Counters)),
 	}
+	a.measures.metrics.Collect(a.collect)
 	s := suture.New(cfg.Name, suture.Spec{EventHook: func(ev suture.Event) {
 		event.Restart.On(cfg.Logger).Str("cause", ev.String()).Send()
 	}})
 	s.Add(periodic{name: "dial", period: dialPeriod, do: a.dial})
 	s.Add(periodic{name: "beat", period: beatPeriod, do: a.beat})
 	s.Add(periodic{name: "expire", period: expirePeriod, do: a.expire})
+	if cfg.Metrics != nil {
+		s.Add(newWeb(a, cfg.Metrics))
+	}
 	a.done = s.ServeBackground(ctx)
 	event.Started.On(cfg.Logger).Str("agent", cfg.Name).Send()
 	return a, nil
@@ -185,10 +195,12 @@
 	for _, action := range actions {
 		switch v := action.(type) {
 		case slot.Run:
+			a.measures.started.Inc()
 			a.run(v)
 		case slot.Halt:
 			a.halt(v.Key)
 		case slot.Reply:
+			a.measures.replied(v.Done.Status)
 			if l := a.links[v.Entry]; l != nil {
 				_ = l.Send(message.TypeDone, 0, v.Done)
 			}
--- /dev/null
+++ b/agent/metrics.go
@@ -0,0 +1,78 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/telemetry"
+)
+
+// measures are the metrics of an agent that are counted when something happens. The others are read at a scrape.
+type measures struct {
+	metrics *telemetry.Metrics
+	started *metrics.Counter
+	replies map[message.Status]*metrics.Counter
+}
+
+func newMeasures(m *telemetry.Metrics) *measures {
+	s := &measures{metrics: m, started: m.Counter("started_total"), replies: map[message.Status]*metrics.Counter{}}
+	for status := message.StatusDone; status <= message.StatusUnknown; status++ {
+		s.replies[status] = m.Counter("replies_total", "status", status.String())
+	}
+	return s
+}
+
+func (s *measures) replied(status message.Status) {
+	if c := s.replies[status]; c != nil {
+		c.Inc()
+	}
+}
+
+// collect writes the state of the agent at a scrape.
+func (a *Agent) collect(w *telemetry.Samples) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	u := a.table.Usage()
+	w.Gauge("slots", a.cfg.Slots.Slots)
+	w.Gauge("running", u.Running)
+	w.Gauge("pending", u.Pending)
+	w.Gauge("connections", a.cfg.Slots.Connections)
+	w.Gauge("calls", u.Calls)
+	w.Gauge("remembered", a.table.Remembered())
+	w.Gauge("links", len(a.links))
+	w.Flag("leaving", a.leaving)
+}
+
+// web serves the metrics of an agent.
+type web struct {
+	server *http.Server
+	l      net.Listener
+}
+
+func newWeb(a *Agent, l net.Listener) web {
+	r := mux.NewRouter()
+	r.Handle(telemetry.MetricsPath, a.measures.metrics)
+	return web{l: l, server: &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}}
+}
+
+// Serve implements suture.Service.
+func (s web) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	defer stop()
+	err := s.server.Serve(s.l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return suture.ErrDoNotRestart
+	}
+	return err
+}
+
+// String names the service in events.
+func (web) String() string { return "web" }
--- a/entry/core.go
+++ b/entry/core.go
@@ -60,9 +60,10 @@
 
 // core is the state of an entry. All of it is guarded by mu.
 type core struct {
-	cfg    Config
-	clock  lavendercourse.Clock
-	logger zerolog.Logger
+	cfg      Config
+	clock    lavendercourse.Clock
+	logger   zerolog.Logger
+	measures *measures
 
 	mu      sync.Mutex
 	jobs    *job.Table
@@ -95,10 +96,12 @@
 
 func newCore(cfg Config) *core {
 	now := cfg.Clock.Now()
+	m := telemetry.NewMetrics(cfg.Counters)
+	cfg.Log = newCountedLog(cfg.Log, m)
 	cfg.Quorum.Name = cfg.Name
 	cfg.Jobs.Incarnation = lavendercourse.NewIncarnation()
 	c := &core{
-		cfg: cfg, clock: cfg.Clock, logger: cfg.Logger,
+		cfg: cfg, clock: cfg.Clock, logger: cfg.Logger, measures: newMeasures(m),
 		jobs:    job.New(cfg.Jobs),
 		tasks:   admission.New(cfg.Queue),
 		calls:   admission.New(cfg.Queue),
@@ -115,6 +118,7 @@
 		spans:   map[lavendercourse.JobID]trace.Span{},
 		parked:  true, announce: true,
 	}
+	m.Collect(c.collect)
 	return c
 }
 
@@ -173,9 +177,12 @@
 
 // settle hands out the answers of jobs that have ended and stops what still runs of them.
 func (c *core) settle() {
+	now := c.clock.Now()
 	for _, j := range c.jobs.Ended() {
 		delete(c.items, j.ID())
 		c.endJob(j)
+		c.measures.answered(j.Verdict())
+		c.measures.took(j.Verdict().Outcome, now-j.Arrived())
 		c.tasks.Remove(j.ID())
 		c.calls.Remove(j.ID())
 		if v := j.Verdict(); v.Outcome == lavendercourse.Failed {
@@ -242,6 +249,7 @@
 	span := c.beginTask(j.ID(), at, agent)
 	c.flights[at] = flight{agent: agent, item: item, call: call, team: item.Team(), span: span}
 	c.fleet.Sent(now, agent, at, call)
+	c.measures.started(item.Class(), now-j.Arrived())
 	c.send(agent, message.TypeStart, message.Start{
 		Job: as.Key.Job().String(), Task: as.Key.Task(), Attempt: as.Attempt, Call: call,
 		Kind: as.Task.Kind, Class: uint8(item.Class()), Payload: as.Task.Payload,
@@ -275,6 +283,7 @@
 // landed applies the end of a start to its job.
 func (c *core) landed(now clock.Millis, at placement.Attempt, f flight, d message.Done) {
 	endTask(f.span, d)
+	c.measures.landed(d.Status)
 	q := c.queueOf(f.call)
 	if d.Status == message.StatusRefused && c.jobs.Returned(at.Key, f.agent, at.Attempt) {
 		q.Returned(f.item)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -248,6 +248,7 @@
 		gone := ownerGone()
 		return nil, &gone
 	case v != nil:
+		d.measures.answered(*v)
 		return nil, v
 	case j != nil:
 		d.joinJob(ctx, j)
@@ -255,6 +256,7 @@
 	}
 	if v := d.admit(now, spec); v != nil {
 		d.jobs.Reject(now, id, spec, *v)
+		d.measures.answered(*v)
 		return nil, v
 	}
 	if spec.Deadline > 0 {
@@ -377,6 +379,7 @@
 		Tasks: []job.Task{{Kind: m.GetKind(), Payload: m.GetPayload()}},
 	}
 	if v := d.admit(now, spec); v != nil {
+		d.measures.answered(*v)
 		d.mu.Unlock()
 		return *v, nil
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/schema/dispatch/v1/dispatchv1connect"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 const drainPoll = 20 * time.Millisecond
@@ -116,6 +117,7 @@
 	path, handler = dispatchv1connect.NewOperatorServiceHandler(&operator{core: e.core, follower: e.follower}, traced)
 	r.PathPrefix(path).Handler(handler)
 	r.HandleFunc("/health", e.health)
+	r.Handle(telemetry.MetricsPath, e.core.measures.metrics)
 	return r
 }
 
--- a/lavendercourse.go
+++ b/lavendercourse.go
@@ -73,3 +73,11 @@
 	Quick Class = 1
 	Batch Class = 2
 )
+
+// String returns the name of the class, as used in metrics.
+func (c Class) String() string {
+	if c == Quick {
+		return "quick"
+	}
+	return "batch"
+}
--- a/placement/health.go
+++ b/placement/health.go
@@ -16,6 +16,9 @@
 	ejectedShare = 3
 )
 
+// HealthNames are the values of Agent.Health.
+var HealthNames = []string{"ready", "trial", "ejected", "leaving"}
+
 // health is how far an entry trusts a worker.
 type health struct {
 	window   int
--- a/slot/table.go
+++ b/slot/table.go
@@ -279,6 +279,18 @@
 // Busy returns the number of accepted tasks and calls that have not ended.
 func (t *Table) Busy() int { return len(t.active) }
 
+// Usage is the number of tasks and calls that an agent has, for all entries.
+type Usage struct {
+	Running int
+	Pending int
+	Calls   int
+}
+
+// Usage returns what the table has accepted.
+func (t *Table) Usage() Usage {
+	return Usage{Running: t.running, Pending: t.pending, Calls: t.calls}
+}
+
 // Remembered returns the number of tasks in memory.
 func (t *Table) Remembered() int { return len(t.tasks) }
 
--- a/telemetry/harness_test.go
+++ b/telemetry/harness_test.go
@@ -63,6 +63,7 @@
 	a, err := agent.New(agent.Config{
 		Name: "agent-1", Domain: "sapporo", Entries: links, Clock: clock.NewSystem(), Tracer: tracer,
 		Logger:  zerolog.New(s.lines),
+		Metrics: metrics,
 		Backend: worker.New(worker.Config{Address: workerAddr, Connections: 64, Tracer: tracer}),
 	})
 	assert.NilError(t, err)
