--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
+	"go.opentelemetry.io/otel/trace"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
@@ -17,6 +19,7 @@
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/slot"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // ErrStart is returned when an agent cannot start.
@@ -56,6 +59,10 @@
 	// Counters may be shared with others to count their messages together.
 	Counters *link.Counters
 	Dialer   *link.Dialer
+	// Tracer may be set to trace tasks whose start names a trace.
+	Tracer *telemetry.Tracer
+	// Metrics accepts connections that read the metrics of the agent. It may be nil.
+	Metrics net.Listener
 }
 
 // Agent is one running agent.
@@ -65,6 +72,8 @@
 	cancel context.CancelFunc
 	done   <-chan error
 
+	measures *measures
+
 	mu    sync.Mutex
 	table *slot.Table
 	links map[string]*entryLink
@@ -96,14 +105,19 @@
 	a := &Agent{
 		cfg: cfg, ctx: ctx, cancel: cancel, table: slot.New(cfg.Slots),
 		links: map[string]*entryLink{}, entries: map[string]string{},
-		running: map[lavendercourse.TaskKey]context.CancelFunc{},
+		running:  map[lavendercourse.TaskKey]context.CancelFunc{},
+		measures: newMeasures(telemetry.NewMetrics(cfg.Counters)),
 	}
+	a.measures.metrics.Collect(a.collect)
 	s := suture.New(cfg.Name, suture.Spec{EventHook: func(ev suture.Event) {
 		event.Restart.On(cfg.Logger).Str("cause", ev.String()).Send()
 	}})
 	s.Add(periodic{name: "dial", period: dialPeriod, do: a.dial})
 	s.Add(periodic{name: "beat", period: beatCheck, do: a.beat})
 	s.Add(periodic{name: "expire", period: expirePeriod, do: a.expire})
+	if cfg.Metrics != nil {
+		s.Add(newWeb(a, cfg.Metrics))
+	}
 	a.done = s.ServeBackground(ctx)
 	event.Started.On(cfg.Logger).Str("agent", cfg.Name).Send()
 	return a, nil
@@ -206,10 +220,12 @@
 	for _, action := range actions {
 		switch v := action.(type) {
 		case slot.Run:
+			a.measures.started.Inc()
 			a.run(v)
 		case slot.Halt:
 			a.halt(v.Key)
 		case slot.Reply:
+			a.measures.replied(v.Done.Status)
 			a.reply(v)
 		}
 	}
@@ -234,7 +250,10 @@
 	w := lavendercourse.Work{Key: r.Key, Kind: r.Kind, Payload: r.Payload, Lease: a.lease()}
 	go func() {
 		defer cancel()
+		ctx, span := a.cfg.Tracer.Continue(ctx, r.Trace, trace.SpanKindServer, "agent run")
 		status, result, failure := a.work(ctx, r.Call, w)
+		telemetry.Fail(span, failure)
+		span.End()
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		delete(a.running, r.Key)
--- a/entry/core.go
+++ b/entry/core.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/admission"
@@ -15,6 +16,7 @@
 	"github.com/lavendercourse/lavendercourse/member"
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/placement"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 const (
@@ -87,13 +89,16 @@
 	call  bool
 	team  string
 	kind  string
+	// span covers the start until it ended. It is nil if the job is not traced.
+	span trace.Span
 }
 
 // core is the state of an entry. All of it is guarded by mu.
 type core struct {
-	cfg    Config
-	clock  lavendercourse.Clock
-	logger zerolog.Logger
+	cfg      Config
+	clock    lavendercourse.Clock
+	logger   zerolog.Logger
+	measures *measures
 
 	mu      sync.Mutex
 	jobs    *job.Table
@@ -111,6 +116,8 @@
 	shares  *admission.Shares
 	waiters map[lavendercourse.JobID]chan struct{}
 	past    map[lavendercourse.Incarnation]clock.Millis
+	// spans holds the spans of the jobs that are traced.
+	spans map[lavendercourse.JobID]trace.Span
 
 	// names is the entries list, and leaseStart and confirmed what follows from it; see refresh.
 	names      []string
@@ -128,10 +135,12 @@
 
 func newCore(cfg Config) *core {
 	now := cfg.Clock.Now()
+	m := telemetry.NewMetrics(cfg.Counters)
+	cfg.Log = newCountedLog(cfg.Log, m)
 	cfg.Quorum.Name = cfg.Name
 	cfg.Jobs.Incarnation = lavendercourse.NewIncarnation()
 	c := &core{
-		cfg: cfg, clock: cfg.Clock, logger: cfg.Logger,
+		cfg: cfg, clock: cfg.Clock, logger: cfg.Logger, measures: newMeasures(m),
 		jobs:    job.New(cfg.Jobs),
 		tasks:   admission.New(cfg.Queue),
 		calls:   admission.New(cfg.Queue),
@@ -147,8 +156,10 @@
 		shares:  admission.NewShares(),
 		waiters: map[lavendercourse.JobID]chan struct{}{},
 		past:    map[lavendercourse.Incarnation]clock.Millis{},
+		spans:   map[lavendercourse.JobID]trace.Span{},
 		parked:  true, announce: true, born: now, leaseStart: -1, confirmed: -1,
 	}
+	m.Collect(c.collect)
 	return c
 }
 
@@ -214,8 +225,12 @@
 
 // settle hands out the answers of jobs that have ended and stops what still runs of them.
 func (c *core) settle() {
+	now := c.clock.Now()
 	for _, j := range c.jobs.Ended() {
 		delete(c.items, j.ID())
+		c.endJob(j)
+		c.measures.answered(j.Verdict())
+		c.measures.took(j.Verdict().Outcome, now-j.Arrived())
 		c.tasks.Remove(j.ID())
 		c.calls.Remove(j.ID())
 		if v := j.Verdict(); v.Outcome == lavendercourse.Failed {
@@ -303,13 +318,16 @@
 	}
 	q.Took(item)
 	at := placement.Attempt{Key: as.Key, Attempt: as.Attempt}
-	c.flights[at] = flight{agent: agent, item: item, call: call, team: item.Team(), kind: as.Task.Kind}
+	span := c.beginTask(j.ID(), at, agent)
+	c.flights[at] = flight{agent: agent, item: item, call: call, team: item.Team(), kind: as.Task.Kind, span: span}
 	c.fleet.Sent(now, agent, at, call)
+	c.measures.started(item.Class(), now-j.Arrived())
 	c.send(agent, message.TypeStart, message.Start{
 		Job: as.Key.Job().String(), Task: as.Key.Task(), Attempt: as.Attempt, Call: call,
 		Kind: as.Task.Kind, Class: uint8(item.Class()), Payload: as.Task.Payload,
 		Stamp: stamp, Agent: c.fleet.Agent(agent).Hello().Incarnation, Version: c.gate,
 		Backlog: c.tasks.Waiting(), Declared: as.Task.Declared,
+		Trace: telemetry.Parent(span),
 	})
 	return true
 }
@@ -341,6 +359,8 @@
 
 // landed applies the end of a start to its job.
 func (c *core) landed(now clock.Millis, at placement.Attempt, f flight, d message.Done) {
+	endTask(f.span, d)
+	c.measures.landed(d.Status)
 	q := c.queueOf(f.call)
 	if d.Status == message.StatusRefused && c.jobs.Returned(at.Key, f.agent, at.Attempt) {
 		q.Returned(f.item)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
@@ -16,6 +17,7 @@
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/schema/dispatch/v1/dispatchv1connect"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 const drainPoll = 20 * time.Millisecond
@@ -129,11 +131,13 @@
 
 func (e *Entry) callerRoutes(d *dispatcher) http.Handler {
 	r := mux.NewRouter()
-	path, handler := dispatchv1connect.NewDispatchServiceHandler(d)
+	traced := connect.WithInterceptors(e.core.cfg.Tracer.Interceptor())
+	path, handler := dispatchv1connect.NewDispatchServiceHandler(d, traced)
 	r.PathPrefix(path).Handler(handler)
-	path, handler = dispatchv1connect.NewOperatorServiceHandler(&operator{core: e.core, follower: e.follower})
+	path, handler = dispatchv1connect.NewOperatorServiceHandler(&operator{core: e.core, follower: e.follower}, traced)
 	r.PathPrefix(path).Handler(handler)
 	r.HandleFunc("/health", e.health)
+	r.Handle(telemetry.MetricsPath, e.core.measures.metrics)
 	return r
 }
 
--- a/job/table_test.go
+++ b/job/table_test.go
@@ -70,7 +70,7 @@
 				}
 			}
 			v := j.Verdict()
-			assert.Equal(t, fmt.Sprint(v.Outcome, " ", v.Reason, " ", v.Ran), tc.want)
+			assert.Equal(t, fmt.Sprintf("%d %d %v", v.Outcome, v.Reason, v.Ran), tc.want)
 			assert.Equal(t, len(j.Results()), map[bool]int{true: 2}[v.Outcome == lavendercourse.Complete])
 		})
 	}
--- a/proof/dispatch_test.go
+++ b/proof/dispatch_test.go
@@ -170,7 +170,7 @@
 	}
 	for _, a := range w.agents {
 		// Each linked entry has a lease of its own.
-		if n := a.table.Remembered(); n > len(w.owners) || a.table.Busy() != 0 {
+		if n := a.table.Records(); n > len(w.owners) || a.table.Busy() != 0 {
 			w.fail("%s still holds %d records, %d of them active", a.name(), n, a.table.Busy())
 		}
 	}
--- a/slot/table.go
+++ b/slot/table.go
@@ -294,8 +294,23 @@
 // Busy returns the number of accepted tasks and calls that have not ended.
 func (t *Table) Busy() int { return len(t.active) }
 
-// Remembered returns the number of records in memory: tasks, kept results, leases and entries.
-func (t *Table) Remembered() int {
+// Usage is the number of tasks and calls that an agent has, for all entries.
+type Usage struct {
+	Running int
+	Pending int
+	Calls   int
+}
+
+// Usage returns what the table has accepted.
+func (t *Table) Usage() Usage {
+	return Usage{Running: t.running, Pending: t.pending, Calls: t.calls}
+}
+
+// Remembered returns the number of tasks in memory.
+func (t *Table) Remembered() int { return len(t.tasks) }
+
+// Records returns the number of all records in memory: tasks, kept results, leases and entries.
+func (t *Table) Records() int {
 	return max(len(t.tasks), len(t.past)) + len(t.kept) + len(t.leases) + len(t.entries)
 }
 
