Check settings with line numbers and add the commands of operators

Section names are lower case now. Every fault of a settings file is named, and a daemon with wrong settings does not start. Commands have documented exit codes and say whether anything ran.

--- a/cmd/lavendercourse/main.go
+++ b/cmd/lavendercourse/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(command.Run(command.Config{Args: os.Args[1:], In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
 }
--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,136 @@
+package command
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/spf13/cobra"
+	"gotest.tools/v3/assert"
+
+	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
+)
+
+func run(in string, args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = Run(Config{Args: args, In: strings.NewReader(in), Out: &o, Err: &e})
+	return code, o.String(), e.String()
+}
+
+// Guards against a command that the page does not describe.
+func TestCommandsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/commands.md")
+	assert.NilError(t, err)
+	var visit func(cmd *cobra.Command)
+	visit = func(cmd *cobra.Command) {
+		if cmd.HasSubCommands() {
+			for _, sub := range cmd.Commands() {
+				visit(sub)
+			}
+			return
+		}
+		row := "| `" + cmd.CommandPath()
+		assert.Assert(t, strings.Contains(string(page), row+" ") || strings.Contains(string(page), row+"`"), cmd.CommandPath())
+	}
+	visit(newRoot(&common{}))
+	for code := ExitOK; code <= ExitUnreachable; code++ {
+		assert.Assert(t, strings.Contains(string(page), fmt.Sprintf("\n| %d | ", code)))
+	}
+}
+
+// Guards against an error with a wrong exit code, or one that does not say on one line that nothing ran.
+func TestExitCodesWithoutAnEntry(t *testing.T) {
+	job := filepath.Join(t.TempDir(), "job.ini")
+	assert.NilError(t, os.WriteFile(job, []byte("[job]\nclass = urgent\n[task]\nkind = x\n"), 0o600))
+	for _, c := range []struct {
+		name string
+		args string
+		code int
+	}{
+		{"unknown command", "bogus", ExitUsage},
+		{"unknown subcommand", "config bogus", ExitUsage},
+		{"group alone", "domain", ExitUsage},
+		{"missing argument", "status", ExitUsage},
+		{"unknown flag", "submit --bogus", ExitUsage},
+		{"wrong output", "workers --output yaml", ExitUsage},
+		{"wrong timeout", "workers --timeout 0s", ExitUsage},
+		{"task without kind", "submit", ExitUsage},
+		{"too many tasks", "submit --kind x --tasks 1101", ExitUsage},
+		{"no tasks", "submit --kind x --tasks -1", ExitUsage},
+		{"wrong class in file", "submit " + job, ExitUsage},
+		{"file and flag", "submit " + job + " --kind x", ExitUsage},
+		{"exclusive flags", "config publish a b --base 1 --force", ExitUsage},
+		{"submit", "submit --kind x", ExitUnreachable},
+		{"call", "call --kind x", ExitUnreachable},
+		{"cancel", "cancel a.0.b", ExitUnreachable},
+		{"status", "status a.0.b", ExitUnreachable},
+		{"publish", "config publish domain.a drained", ExitUnreachable},
+		{"drain", "domain drain a", ExitUnreachable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			code, out, errOut := run("", append(strings.Fields(c.args), "--address", "127.0.0.1:1")...)
+			assert.Equal(t, code, c.code, errOut)
+			assert.Equal(t, out, "")
+			assert.Equal(t, strings.Count(errOut, "\n"), 1, errOut)
+			assert.Assert(t, strings.Contains(errOut, "nothing was run") || strings.Contains(errOut, "had nothing run"), errOut)
+		})
+	}
+}
+
+// Guards against daemons that start with wrong settings, or that name only the first fault.
+func TestDaemonsRefuseWrongSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "wrong.ini")
+	assert.NilError(t, os.WriteFile(path, []byte("[Place]\n[slot]\nlease = ten\n"), 0o600))
+	for _, daemon := range []string{"entry", "agent"} {
+		code, _, errOut := run("", daemon, "--settings", path)
+		assert.Equal(t, code, ExitSettings)
+		for _, want := range []string{daemon + " did not start", ":1: unknown section [Place]", ":3: slot.lease", "key name is missing"} {
+			assert.Assert(t, strings.Contains(errOut, want), errOut)
+		}
+	}
+}
+
+// Guards against an outcome that leads to a wrong exit code or a wrong claim.
+func TestVerdictError(t *testing.T) {
+	for _, c := range []struct {
+		outcome dispatchv1.Outcome
+		ran     dispatchv1.Ran
+		code    int
+		says    string
+	}{
+		{dispatchv1.Outcome_OUTCOME_FAILED, dispatchv1.Ran_RAN_SOME, ExitFailed, "may have run"},
+		{dispatchv1.Outcome_OUTCOME_FAILED, dispatchv1.Ran_RAN_NOTHING, ExitFailed, "nothing was run"},
+		{dispatchv1.Outcome_OUTCOME_REFUSED, dispatchv1.Ran_RAN_NOTHING, ExitRefused, "not run"},
+		{dispatchv1.Outcome_OUTCOME_UNKNOWN, dispatchv1.Ran_RAN_SOME, ExitUnknown, "may have run"},
+		{dispatchv1.Outcome_OUTCOME_UNSPECIFIED, dispatchv1.Ran_RAN_UNSPECIFIED, ExitUnknown, "may have run"},
+	} {
+		code, text := explain(verdictError("job a", &dispatchv1.Verdict{Outcome: c.outcome, Ran: c.ran}))
+		assert.Equal(t, code, c.code)
+		assert.Assert(t, strings.Contains(text, c.says), text)
+	}
+	assert.NilError(t, verdictError("job a", &dispatchv1.Verdict{Outcome: dispatchv1.Outcome_OUTCOME_COMPLETE}))
+}
+
+// Guards against the two formats of a job file meaning different jobs, and against flags that are passed over.
+func TestJobFiles(t *testing.T) {
+	ini := "[job]\nteam = t\nclass = quick\ndeadline = 500\n[task]\nkind = a\npayload = 1\ncount = 2\n[task]\nkind = b\nmemory = 5\n"
+	json := `{"team": "t", "class": "quick", "deadline": 500, "tasks": [{"kind": "a", "payload": "1", "count": 2}, {"kind": "b", "memory": 5}]}`
+	for _, text := range []string{ini, json} {
+		f := jobFlags{job: jobFile{Team: "flag", Class: "batch"}}
+		req, err := f.request([]string{"-"}, strings.NewReader(text), func(flag string) bool { return flag == "team" })
+		assert.NilError(t, err)
+		assert.Equal(t, req.GetTeam(), "flag")
+		assert.Equal(t, req.GetClass(), dispatchv1.Class_CLASS_QUICK)
+		assert.Equal(t, req.GetDeadlineMs(), uint32(500))
+		assert.Equal(t, len(req.GetTasks()), 3)
+		assert.Equal(t, string(req.GetTasks()[1].GetPayload()), "1")
+		assert.Equal(t, req.GetTasks()[2].GetMemoryMb(), uint32(5))
+	}
+	for _, bad := range []string{"x = 1\n", "[jobs]\n", "[job]\ntema = x\n", "[task]\nkind = a\ncount = many\n", `{"tema": 1}`, "{", ""} {
+		_, err := (&jobFlags{job: jobFile{Team: "t", Class: "batch"}}).request([]string{"-"}, strings.NewReader(bad), func(string) bool { return false })
+		assert.Assert(t, err != nil, bad)
+	}
+}
--- a/command/entry.go
+++ b/command/entry.go
@@ -1,9 +1,9 @@
 package command
 
 import (
-	"context"
 	"net"
 
+	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"github.com/lavendercourse/lavendercourse/clock"
@@ -13,32 +13,26 @@
 	"github.com/lavendercourse/lavendercourse/settings"
 )
 
-// stopTimeout bounds a graceful stop: the longest job, and some time to answer.
-const stopTimeout = 330 * clock.Second
-
 func newEntry(c *common) *cobra.Command {
 	return &cobra.Command{
 		Use:   "entry",
 		Short: "Run an entry",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := settings.Load(c.file)
+			s, logger, err := c.load(settings.RoleEntry)
 			if err != nil {
-				return exitError{code: ExitSettings, text: err.Error()}
+				return err
 			}
-			e, err := startEntry(c, s)
+			e, err := startEntry(s, logger)
 			if err != nil {
-				return exitError{code: ExitFailed, text: err.Error()}
+				return failure(ExitFailed, "entry did not start: %v", err)
 			}
-			<-cmd.Context().Done()
-			ctx, cancel := context.WithTimeout(context.Background(), stopTimeout.Duration())
-			defer cancel()
-			return e.Stop(ctx)
+			return serve(cmd.Context(), "entry", e.Stop)
 		},
 	}
 }
 
-func startEntry(c *common, s settings.Settings) (*entry.Entry, error) {
+func startEntry(s settings.Settings, logger zerolog.Logger) (*entry.Entry, error) {
 	policy, err := placement.NewPolicy(s.Entry.Policy)
 	if err != nil {
 		return nil, err
@@ -59,7 +53,8 @@
 	return entry.New(entry.Config{
 		Name: s.Entry.Name, Region: s.Place.Region, Domain: s.Place.Domain,
 		Callers: callers, Links: links, Advertise: advertise, Seeds: s.Entry.Seeds,
-		Log: platform.New(platform.Config{Address: s.Platform.Address}), Retention: s.Platform.Retention,
-		Policy: policy, Clock: clock.NewSystem(), Logger: c.logger(),
+		Log:       platform.New(platform.Config{Address: s.Platform.Address, Timeout: s.Platform.Timeout}),
+		Retention: s.Platform.Retention, Policy: policy, Jobs: s.Limits.Jobs, Queue: s.Limits.Queue, Quorum: s.Member,
+		Clock: clock.NewSystem(), Logger: logger,
 	})
 }
--- a/command/root.go
+++ b/command/root.go
@@ -3,51 +3,66 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
+
+	"github.com/lavendercourse/lavendercourse/settings"
 )
 
-// Exit codes.
 const (
-	ExitOK       = 0
-	ExitFailed   = 1
-	ExitUsage    = 2
-	ExitRefused  = 3
-	ExitUnknown  = 4
-	ExitSettings = 5
+	defaultAddress  = "127.0.0.1:7100"
+	defaultSettings = "lavendercourse.ini"
+	// defaultTimeout leaves time for the longest job, 300 s, and its response.
+	defaultTimeout = 330 * time.Second
 )
 
+// Config is the surroundings of the program.
+type Config struct {
+	Args []string
+	In   io.Reader
+	Out  io.Writer
+	Err  io.Writer
+	// Extra are commands of packages that this one must not import.
+	Extra []*cobra.Command
+}
+
 // common is what all commands share.
 type common struct {
+	in      io.Reader
 	out     io.Writer
 	errOut  io.Writer
 	address string
 	output  string
 	file    string
+	timeout time.Duration
 }
 
-func (c *common) logger() zerolog.Logger {
-	return zerolog.New(c.errOut).With().Timestamp().Logger()
-}
-
-// Run runs the program with the given arguments and returns its exit code.
-func Run(args []string, out, errOut io.Writer) int {
-	c := &common{out: out, errOut: errOut}
+// Run runs the program and returns its exit code. An error is written to Err.
+func Run(cfg Config) int {
+	c := &common{in: cfg.In, out: cfg.Out, errOut: cfg.Err}
 	root := newRoot(c)
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errOut)
+	root.AddCommand(cfg.Extra...)
+	root.SetArgs(cfg.Args)
+	root.SetIn(cfg.In)
+	root.SetOut(cfg.Out)
+	root.SetErr(cfg.Err)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := root.ExecuteContext(ctx); err != nil {
-		return exitCode(err)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
 	}
-	return ExitOK
+	code, text := explain(err)
+	_, _ = fmt.Fprintln(cfg.Err, "lavendercourse: "+text)
+	return code
 }
 
 func newRoot(c *common) *cobra.Command {
@@ -55,27 +70,73 @@
 		Use:           "lavendercourse",
 		Short:         "Dispatcher for sub-second tasks",
 		SilenceUsage:  true,
-		SilenceErrors: false,
+		SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if c.output != outputText && c.output != outputJSON {
+				return failure(ExitUsage, "--output is %q, want text or json; nothing was run", c.output)
+			}
+			if c.timeout <= 0 {
+				return failure(ExitUsage, "--timeout is %s, want more than 0; nothing was run", c.timeout)
+			}
+			return nil
+		},
 	}
-	root.PersistentFlags().StringVar(&c.address, "address", "127.0.0.1:7100", "host and port of an entry")
-	root.PersistentFlags().StringVar(&c.output, "output", "text", "text or json")
-	root.PersistentFlags().StringVar(&c.file, "settings", "lavendercourse.ini", "settings file")
-	root.AddCommand(newEntry(c), newAgent(c), newSubmit(c))
+	f := root.PersistentFlags()
+	f.StringVar(&c.address, "address", defaultAddress, "host and port of an entry or of the balancer")
+	f.StringVar(&c.output, "output", outputText, "text or json")
+	f.StringVar(&c.file, "settings", defaultSettings, "settings file")
+	f.DurationVar(&c.timeout, "timeout", defaultTimeout, "longest wait for a response")
+	completeFlag(root, "output", outputText, outputJSON)
+	root.AddCommand(
+		newSubmit(c), newStatus(c), newCancel(c), newCall(c),
+		newGroup("config", "Publish and read the configuration", newPublish(c), newGet(c), newHistory(c)),
+		newGroup("domain", "Take failure domains out of service and bring them back",
+			newDrain(c), newRestore(c), newDomains(c)),
+		newWorkers(c),
+		newGroup("settings", "Work with settings files", newCheck(c)),
+		newVersion(c), newEntry(c), newAgent(c),
+	)
 	return root
 }
 
-// exitError carries an exit code.
-type exitError struct {
-	code int
-	text string
+// newGroup returns a command that only holds others.
+func newGroup(use, short string, commands ...*cobra.Command) *cobra.Command {
+	names := make([]string, len(commands))
+	for i, cmd := range commands {
+		names[i] = cmd.Name()
+	}
+	group := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return failure(ExitUsage, "%s needs one of: %s; nothing was run", use, strings.Join(names, ", "))
+		},
+	}
+	group.AddCommand(commands...)
+	return group
 }
 
-// Error returns the text of the error.
-func (e exitError) Error() string { return e.text }
+// completeFlag offers the values of a flag to the shell.
+func completeFlag(cmd *cobra.Command, flag string, values ...string) {
+	// The error only says that the flag does not exist.
+	_ = cmd.RegisterFlagCompletionFunc(flag, cobra.FixedCompletions(values, cobra.ShellCompDirectiveNoFileComp))
+}
 
-func exitCode(err error) int {
-	if e, ok := err.(exitError); ok {
-		return e.code
+// load reads the settings of a daemon and returns them with its logger.
+func (c *common) load(role settings.Role) (settings.Settings, zerolog.Logger, error) {
+	s, err := settings.Load(c.file, role)
+	if err != nil {
+		return s, zerolog.Nop(), failure(ExitSettings, "%s did not start:\n%s", role, problemsOf(err))
+	}
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return s, zerolog.Nop(), failure(ExitSettings, "%s did not start: %v", role, err)
 	}
-	return ExitUsage
+	return s, zerolog.New(c.errOut).Level(level).With().Timestamp().Logger(), nil
+}
+
+// within bounds a command by --timeout.
+func (c *common) within(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, c.timeout)
 }
--- a/command/submit.go
+++ b/command/submit.go
@@ -2,36 +2,60 @@
 
 import (
 	"fmt"
+	"io"
 
 	"github.com/spf13/cobra"
 
-	"github.com/lavendercourse/lavendercourse/caller"
 	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
 )
 
+// submitView is the response to a job as JSON. Results are base64.
+type submitView struct {
+	ID      string       `json:"id"`
+	Verdict *verdictView `json:"verdict"`
+	Results [][]byte     `json:"results,omitempty"`
+}
+
 func newSubmit(c *common) *cobra.Command {
-	var team, kind, payload string
-	var tasks int
+	var flags jobFlags
 	cmd := &cobra.Command{
-		Use:   "submit",
-		Short: "Submit a job and wait for its answer",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			req := &dispatchv1.SubmitRequest{Team: team}
-			for range tasks {
-				req.Tasks = append(req.Tasks, &dispatchv1.TaskSpec{Kind: kind, Payload: []byte(payload)})
-			}
-			resp, err := caller.New(caller.Config{Address: c.address}).Submit(cmd.Context(), req)
+		Use:   "submit [FILE]",
+		Short: "Submit a job and wait for its response",
+		Long: "Submit a job and wait for its response. The job comes from the flags or from an INI or JSON file; " +
+			"FILE is a path, or - for standard input. Flags for team, class, deadline and id override the file.",
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			req, err := flags.request(args, c.in, cmd.Flags().Changed)
 			if err != nil {
-				return exitError{code: ExitFailed, text: err.Error()}
+				return failure(ExitUsage, "%v; nothing was run", err)
 			}
-			_, _ = fmt.Fprintf(c.out, "%s %s %d results\n", req.GetId(), resp.GetVerdict(), len(resp.GetResults()))
-			return nil
+			return submit(cmd, c, req)
 		},
 	}
-	cmd.Flags().StringVar(&team, "team", "default", "team that the job is charged to")
-	cmd.Flags().StringVar(&kind, "kind", "sleep", "kind of the tasks")
-	cmd.Flags().StringVar(&payload, "payload", "100", "payload of each task")
-	cmd.Flags().IntVar(&tasks, "tasks", 1, "number of tasks")
+	flags.register(cmd)
 	return cmd
 }
+
+func submit(cmd *cobra.Command, c *common, req *dispatchv1.SubmitRequest) error {
+	ctx, cancel := c.within(cmd.Context())
+	defer cancel()
+	cl := newClient(c.address)
+	resp, err := cl.caller().Submit(ctx, req)
+	if err != nil && req.GetId() == "" {
+		return cl.fail(err, ExitUnreachable, "no job id was issued and nothing was run")
+	}
+	if err != nil {
+		return cl.fail(err, ExitUnknown, "the job may have run; submit it again with --id "+req.GetId())
+	}
+	v := resp.GetVerdict()
+	err = c.show(submitView{ID: req.GetId(), Verdict: viewOf(v), Results: resp.GetResults()}, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "job %s %s\n", req.GetId(), outcomeOf(v))
+		for i, r := range resp.GetResults() {
+			_, _ = fmt.Fprintf(w, "%d %q\n", i, r)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return verdictError("job "+req.GetId(), v)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,9 +3,14 @@
 
 import (
 	"github.com/rotisserie/eris"
-	"gopkg.in/ini.v1"
 
+	"github.com/lavendercourse/lavendercourse/admission"
 	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/job"
+	"github.com/lavendercourse/lavendercourse/member"
+	"github.com/lavendercourse/lavendercourse/placement"
+	"github.com/lavendercourse/lavendercourse/platform"
+	"github.com/lavendercourse/lavendercourse/slot"
 )
 
 // ErrSettings is returned for a file that cannot be used.
@@ -17,67 +22,82 @@
 	Entry    Entry
 	Agent    Agent
 	Platform Platform
+	Limits   Limits
+	Member   member.Config
+	Slot     slot.Config
 	Log      Log
+	Trace    Trace
 }
 
 // Place says where the process runs.
 type Place struct {
-	Region string `ini:"region"`
-	Domain string `ini:"domain"`
-	Rack   string `ini:"rack"`
+	Region string
+	Domain string
+	Rack   string
 }
 
 // Entry holds the settings of an entry.
 type Entry struct {
-	Name      string   `ini:"name"`
-	Callers   string   `ini:"callers"`
-	Links     string   `ini:"links"`
-	Advertise string   `ini:"advertise"`
-	Seeds     []string `ini:"seeds"`
-	Policy    string   `ini:"policy"`
+	Name      string
+	Callers   string
+	Links     string
+	Advertise string
+	Seeds     []string
+	Policy    string
 }
 
 // Agent holds the settings of an agent.
 type Agent struct {
-	Name        string   `ini:"name"`
-	Entries     []string `ini:"entries"`
-	Worker      string   `ini:"worker"`
-	Slots       int      `ini:"slots"`
-	Connections int      `ini:"connections"`
-	Memory      int      `ini:"memory"`
-	Cores       int      `ini:"cores"`
+	Name    string
+	Entries []string
+	Worker  string
+	// Memory of the worker in MB, and its processor cores. 0 means not known.
+	Memory int
+	Cores  int
 }
 
 // Platform holds the settings of the platform's log service.
 type Platform struct {
-	Address   string       `ini:"address"`
-	Retention clock.Millis `ini:"retention"`
+	Address   string
+	Timeout   clock.Millis
+	Retention clock.Millis
+}
+
+// Limits holds the limits of the jobs of an entry.
+type Limits struct {
+	Queue admission.Config
+	Jobs  job.Config
 }
 
 // Log holds the settings of the log lines.
 type Log struct {
-	Level string `ini:"level"`
+	Level string
+}
+
+// Trace holds the settings of traces.
+type Trace struct {
+	Exporter string
 }
 
 // Default returns the settings that a file may override.
 func Default() Settings {
 	return Settings{
-		Entry:    Entry{Callers: "127.0.0.1:7100", Links: "127.0.0.1:7101", Policy: "home"},
-		Agent:    Agent{Slots: 8, Connections: 64, Worker: "127.0.0.1:7200"},
-		Platform: Platform{Address: "127.0.0.1:7000", Retention: 60 * clock.Minute},
-		Log:      Log{Level: "info"},
-	}
-}
-
-// Load reads a settings file.
-func Load(path string) (Settings, error) {
-	s := Default()
-	f, err := ini.Load(path)
-	if err != nil {
-		return s, eris.Wrapf(ErrSettings, "%s: %v", path, err)
-	}
-	if err := f.StrictMapTo(&s); err != nil {
-		return s, eris.Wrapf(ErrSettings, "%s: %v", path, err)
+		Entry:    Entry{Callers: "127.0.0.1:7100", Links: "127.0.0.1:7101", Policy: placement.PolicyNames[0]},
+		Agent:    Agent{Worker: "127.0.0.1:7200"},
+		Platform: Platform{Address: "127.0.0.1:7000", Timeout: platform.DefaultTimeout, Retention: 60 * clock.Minute},
+		Limits: Limits{
+			Queue: admission.Config{Queue: admission.DefaultQueue, Age: admission.DefaultAge},
+			Jobs: job.Config{
+				Reserve: job.DefaultReserve, Lifetime: job.DefaultLifetime, Keep: job.DefaultKeep,
+				Bytes: job.DefaultBytes, Blocks: job.DefaultBlocks,
+			},
+		},
+		Member: member.Config{Lease: member.DefaultLease, Gone: member.DefaultGone, Fresh: member.DefaultFresh},
+		Slot: slot.Config{
+			Slots: slot.DefaultSlots, Connections: slot.DefaultConnections, Validity: slot.DefaultValidity,
+			Lease: slot.DefaultLease, Memory: slot.DefaultMemory, Keep: slot.DefaultKeep, KeepBytes: slot.DefaultKeepBytes,
+		},
+		Log:   Log{Level: "info"},
+		Trace: Trace{Exporter: "none"},
 	}
-	return s, nil
 }
