--- a/standin/peers/slope_test.go
+++ b/standin/peers/slope_test.go
@@ -249,7 +249,7 @@
 func settingsFile(t *testing.T, dir, log, callers, links string) string {
 	t.Helper()
 	path := filepath.Join(dir, "entry.ini")
-	text := fmt.Sprintf("[Place]\nregion = south\ndomain = domain-00\n[Entry]\nname = measured\ncallers = %s\nlinks = %s\n[Platform]\naddress = %s\n",
+	text := fmt.Sprintf("[place]\nregion = south\ndomain = domain-00\n[entry]\nname = measured\ncallers = %s\nlinks = %s\n[platform]\naddress = %s\n",
 		callers, links, log)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	return path
