--- a/standin/peers/slope_test.go
+++ b/standin/peers/slope_test.go
@@ -109,7 +109,7 @@
 }
 
 func measure(t *testing.T, bin string, x float64, sc scene) point {
-	warm, window := 4*time.Second, 10*time.Second
+	warm, window := 12*time.Second, 10*time.Second
 	if !*full {
 		warm, window = 500*time.Millisecond, 500*time.Millisecond
 	}
