Add a bench of the whole path, with latencies and seeded workloads

The command standin bench runs the platform, entries, agents and workers in one process on loopback and compares response times with one queue that sees every slot, counts messages, and measures a failure domain that leaves and returns.

--- /dev/null
+++ b/standin/bench/report.go
@@ -0,0 +1,278 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/lavendercourse/lavendercourse/message"
+	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
+)
+
+// Report is the result of one run.
+type Report struct {
+	Config Config `json:"config"`
+	// Revision is the commit of the program, with + if it was built from changed files.
+	Revision string  `json:"revision"`
+	Seconds  float64 `json:"seconds"`
+	// Cores is the mean number of processor cores in use by the whole system and its callers.
+	Cores float64 `json:"cores"`
+	// LoadAverage is that of the machine before and after the run.
+	LoadAverage [2]float64     `json:"loadaverage"`
+	Jobs        Ratios         `json:"jobs"`
+	Calls       Ratios         `json:"calls"`
+	Outcomes    map[string]int `json:"outcomes"`
+	Messages    Messages       `json:"messages"`
+	Outage      *Outage        `json:"outage,omitempty"`
+}
+
+// Ratios are measured times divided by ideal times, over complete jobs or calls. Added are the differences in ms; those
+// below zero count as zero.
+type Ratios struct {
+	Count    int     `json:"count"`
+	P50      float64 `json:"p50"`
+	P95      float64 `json:"p95"`
+	P99      float64 `json:"p99"`
+	Max      float64 `json:"max"`
+	AddedP50 float64 `json:"addedp50"`
+	AddedP99 float64 `json:"addedp99"`
+}
+
+// Messages are the frames between processes, each counted once.
+type Messages struct {
+	Frames map[string]uint64 `json:"frames"`
+	Bytes  uint64            `json:"bytes"`
+	// Tasks and Calls are the starts in the journals of the workers.
+	Tasks int `json:"tasks"`
+	Calls int `json:"calls"`
+	// PerStart is the number of frames per started task or call, heartbeats left out; WithHeartbeats includes them.
+	PerStart       float64 `json:"perstart"`
+	WithHeartbeats float64 `json:"withheartbeats"`
+	// Idle are starts that ran nothing, their dones, stops and resumes. Lost were sent and not received.
+	Idle       int64  `json:"idle"`
+	Heartbeats uint64 `json:"heartbeats"`
+	Lost       int64  `json:"lost"`
+	// Wasted is the share of idle frames among all but heartbeats, in percent. WastedAll counts heartbeats as wasted.
+	Wasted    float64 `json:"wasted"`
+	WastedAll float64 `json:"wastedall"`
+}
+
+// Outage is what happened while a failure domain left and returned. Work is in task-seconds.
+type Outage struct {
+	Done      float64 `json:"done"`
+	Possible  float64 `json:"possible"`
+	Share     float64 `json:"share"`
+	FullUseMs int64   `json:"fullusems"`
+	// Tasks ran in the failure domain when it was killed. Touched are their jobs.
+	Tasks   int `json:"tasks"`
+	Touched int `json:"touched"`
+	// Lost are the jobs that were not complete, and Elsewhere those of them with no task cut by the kill.
+	Lost      int `json:"lost"`
+	Elsewhere int `json:"elsewhere"`
+}
+
+func newReport(r *runner, f frames) *Report {
+	rep := &Report{Config: r.cfg, Revision: revision(), Outcomes: map[string]int{}}
+	slots := r.sys.groups()
+	usable := append([]int(nil), slots...)
+	for i := range r.faulty() {
+		usable[r.sys.nodes[i*rackSize].group] -= r.cfg.Slots
+	}
+	best := idealOf(r.trace, usable, r.sys.net.callers, r.outage)
+	rep.ratios(r, best)
+	all := r.journal()
+	rep.messages(f, all)
+	if r.outage != nil {
+		rep.Outage = newOutage(r, best, all, slots)
+	}
+	return rep
+}
+
+// ratios compares each complete answer with the ideal one. The ideal time ends after the two trips between entry and
+// worker and the way back to the caller; the way to the entry is part of the ideal queue.
+func (rep *Report) ratios(r *runner, best ideal) {
+	trips := 2*r.sys.net.links + r.sys.net.callers
+	var ratio, added [2]*hdrhistogram.Histogram
+	for k := range ratio {
+		ratio[k], added[k] = newHistogram(), newHistogram()
+	}
+	for i, g := range r.got {
+		rep.Outcomes[outcomeName(r.trace[i], g)]++
+		if !g.complete() || best.ends[i] == 0 {
+			continue
+		}
+		k := 0
+		if r.trace[i].call {
+			k = 1
+		}
+		want := best.ends[i] - r.trace[i].at + trips
+		_ = ratio[k].RecordValue(max(int64(float64(g.took)/float64(want)*ratioScale), 1))
+		_ = added[k].RecordValue(max((g.took - want).Microseconds(), 1))
+	}
+	rep.Jobs, rep.Calls = newRatios(ratio[0], added[0]), newRatios(ratio[1], added[1])
+}
+
+func newRatios(ratio, added *hdrhistogram.Histogram) Ratios {
+	at := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / ratioScale }
+	return Ratios{
+		Count: int(ratio.TotalCount()), P50: at(ratio, 50), P95: at(ratio, 95), P99: at(ratio, 99), Max: at(ratio, 100),
+		AddedP50: at(added, 50), AddedP99: at(added, 99),
+	}
+}
+
+func (rep *Report) messages(f frames, all []started) {
+	m := &rep.Messages
+	m.Frames = map[string]uint64{}
+	var total uint64
+	for t := range message.Type(message.TypeCount) {
+		if f.sent[t] > 0 {
+			m.Frames[t.String()] = f.sent[t]
+		}
+		total += f.sent[t]
+		m.Lost += int64(f.sent[t]) - int64(f.received[t])
+		switch t {
+		case message.TypeBeat, message.TypeRenew, message.TypePulse, message.TypeAck:
+			m.Heartbeats += f.sent[t]
+		case message.TypeStop, message.TypeResume:
+			m.Idle += int64(f.sent[t])
+		}
+	}
+	m.Bytes = f.bytes
+	for _, s := range all {
+		if s.call {
+			m.Calls++
+		} else {
+			m.Tasks++
+		}
+	}
+	n := int64(len(all))
+	m.Idle += max(int64(f.sent[message.TypeStart])-n, 0) + max(int64(f.sent[message.TypeDone])-n, 0)
+	rest := total - m.Heartbeats
+	m.PerStart = share(float64(rest), float64(n))
+	m.WithHeartbeats = share(float64(total), float64(n))
+	m.Wasted = 100 * share(float64(m.Idle), float64(rest))
+	m.WastedAll = 100 * share(float64(m.Idle)+float64(m.Heartbeats), float64(total))
+}
+
+func newOutage(r *runner, best ideal, all []started, slots []int) *Outage {
+	o := r.outage
+	out := &Outage{}
+	touched := map[int]bool{}
+	var runs []run
+	for _, s := range all {
+		switch {
+		case s.call:
+		case s.cut:
+			out.Tasks++
+			touched[s.arrival] = true
+		default:
+			runs = append(runs, s.run)
+		}
+	}
+	out.Touched = len(touched)
+	for i, g := range r.got {
+		if r.trace[i].call || g.complete() {
+			continue
+		}
+		out.Lost++
+		if !touched[i] {
+			out.Elsewhere++
+		}
+	}
+	end := o.back + settleSpan
+	out.Done = work(runs, o.leave, end).Seconds()
+	out.Possible = work(best.runs, o.leave, end).Seconds()
+	out.Share = share(out.Done, out.Possible)
+	out.FullUseMs = fullUse(runs, slots, *o).Milliseconds()
+	return out
+}
+
+func share(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+func outcomeName(a arrival, g response) string {
+	kind := "job"
+	if a.call {
+		kind = "call"
+	}
+	if g.err != nil {
+		return kind + " error"
+	}
+	name := strings.ToLower(strings.TrimPrefix(g.verdict.GetOutcome().String(), "OUTCOME_"))
+	if g.verdict.GetReason() != dispatchv1.Reason_REASON_UNSPECIFIED {
+		name += " " + strings.ToLower(strings.TrimPrefix(g.verdict.GetReason().String(), "REASON_"))
+	}
+	return kind + " " + name
+}
+
+// Write writes the report as a table.
+func (rep *Report) Write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	c, m := rep.Config, rep.Messages
+	p := func(format string, args ...any) { _, _ = fmt.Fprintf(t, format+"\n", args...) }
+	p("%s, %s, policy %s, load %d %%, %d s, seed %d, %d entries, balance %s, calls %g, revision %s", c.Preset, c.Shape,
+		c.Policy, c.Load, c.Seconds, c.Seed, c.Entries, c.Balance, c.Calls, rep.Revision)
+	p("ran %.1f s, %.2f cores, load average %.1f before and %.1f after", rep.Seconds, rep.Cores, rep.LoadAverage[0],
+		rep.LoadAverage[1])
+	p("\ntime / ideal\tcount\tp50\tp95\tp99\tmax\tadded p50\tadded p99")
+	for _, row := range []struct {
+		name string
+		r    Ratios
+	}{{"jobs", rep.Jobs}, {"calls", rep.Calls}} {
+		p("%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.1f ms\t%.1f ms", row.name, row.r.Count, row.r.P50, row.r.P95, row.r.P99,
+			row.r.Max, row.r.AddedP50, row.r.AddedP99)
+	}
+	p("\noutcome\tcount")
+	for _, name := range slices.Sorted(maps.Keys(rep.Outcomes)) {
+		p("%s\t%d", name, rep.Outcomes[name])
+	}
+	n := float64(m.Tasks + m.Calls)
+	p("\nmessage\tframes\tper start")
+	for typ := range message.Type(message.TypeCount) {
+		if sent := m.Frames[typ.String()]; sent > 0 {
+			p("%s\t%d\t%.4f", typ, sent, share(float64(sent), n))
+		}
+	}
+	p("\nstarted\t%d tasks, %d calls", m.Tasks, m.Calls)
+	p("messages per start\t%.3f, with heartbeats %.3f", m.PerStart, m.WithHeartbeats)
+	p("wasted\t%.2f %%, with heartbeats %.2f %%", m.Wasted, m.WastedAll)
+	p("idle, heartbeats, lost\t%d, %d, %d", m.Idle, m.Heartbeats, m.Lost)
+	if o := rep.Outage; o != nil {
+		p("\nwork while a failure domain left and returned\t%.1f of %.1f task-seconds, %.4f", o.Done, o.Possible, o.Share)
+		p("full use after the return\t%v", time.Duration(o.FullUseMs)*time.Millisecond)
+		p("tasks cut, their jobs\t%d, %d", o.Tasks, o.Touched)
+		p("jobs lost, without a task cut\t%d, %d", o.Lost, o.Elsewhere)
+	}
+	return t.Flush()
+}
+
+// revision returns the commit that the program was built from.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	rev, changed := "unknown", ""
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			rev = s.Value[:min(len(s.Value), 9)]
+		case "vcs.modified":
+			if s.Value == "true" {
+				changed = "+"
+			}
+		}
+	}
+	return rev + changed
+}
--- /dev/null
+++ b/standin/bench/sleep_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package bench
+
+import "time"
+
+// pause blocks the calling goroutine. Short sleeps may be rounded up.
+func pause(span time.Duration) { time.Sleep(span) }
