--- a/standin/bench/report.go
+++ b/standin/bench/report.go
@@ -1,10 +1,10 @@
 package bench
 
 import (
+	"encoding/csv"
 	"fmt"
 	"io"
 	"maps"
-	"runtime/debug"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -16,10 +16,15 @@
 	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
 )
 
+// revision is the commit of the program. It is set when the program is linked, since go build does not find it in a
+// git worktree:
+//
+//	go build -ldflags "-X github.com/lavendercourse/lavendercourse/standin/bench.revision=$(git describe --always --dirty)" ./cmd/standin
+var revision = "unknown"
+
 // Report is the result of one run.
 type Report struct {
-	Config Config `json:"config"`
-	// Revision is the commit of the program, with + if it was built from changed files.
+	Config   Config  `json:"config"`
 	Revision string  `json:"revision"`
 	Seconds  float64 `json:"seconds"`
 	// Cores is the mean number of processor cores in use by the whole system and its callers.
@@ -31,6 +36,21 @@
 	Outcomes    map[string]int `json:"outcomes"`
 	Messages    Messages       `json:"messages"`
 	Outage      *Outage        `json:"outage,omitempty"`
+	// Rows hold every arrival, to find causes.
+	Rows []Row `json:"-"`
+}
+
+// Row is what became of one arrival. Times are in ms.
+type Row struct {
+	At      float64
+	Kind    string
+	Class   int
+	Team    int
+	Tasks   int
+	Longest int64
+	Took    float64
+	Ideal   float64
+	Outcome string
 }
 
 // Ratios are measured times divided by ideal times, over complete jobs or calls. Added are the differences in ms; those
@@ -79,7 +99,7 @@
 }
 
 func newReport(r *runner, f frames) *Report {
-	rep := &Report{Config: r.cfg, Revision: revision(), Outcomes: map[string]int{}}
+	rep := &Report{Config: r.cfg, Revision: revision, Outcomes: map[string]int{}}
 	slots := r.sys.groups()
 	usable := append([]int(nil), slots...)
 	for i := range r.faulty() {
@@ -105,6 +125,7 @@
 	}
 	for i, g := range r.got {
 		rep.Outcomes[outcomeName(r.trace[i], g)]++
+		rep.Rows = append(rep.Rows, newRow(r.trace[i], g, best.ends[i]-r.trace[i].at+trips))
 		if !g.complete() || best.ends[i] == 0 {
 			continue
 		}
@@ -119,6 +140,29 @@
 	rep.Jobs, rep.Calls = newRatios(ratio[0], added[0]), newRatios(ratio[1], added[1])
 }
 
+func newRow(a arrival, g response, want time.Duration) Row {
+	kind, outcome, _ := strings.Cut(outcomeName(a, g), " ")
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	return Row{
+		At: ms(a.at), Kind: kind, Class: int(a.class), Team: a.team, Tasks: len(a.runs), Longest: int64(slices.Max(a.runs)),
+		Took: ms(g.took), Ideal: ms(want), Outcome: outcome,
+	}
+}
+
+// WriteRows writes one line of comma-separated values for each arrival.
+func (rep *Report) WriteRows(w io.Writer) error {
+	out := csv.NewWriter(w)
+	_ = out.Write([]string{"at", "kind", "class", "team", "tasks", "longest", "took", "ideal", "outcome"})
+	for _, r := range rep.Rows {
+		_ = out.Write([]string{
+			fmt.Sprint(r.At), r.Kind, fmt.Sprint(r.Class), fmt.Sprint(r.Team), fmt.Sprint(r.Tasks), fmt.Sprint(r.Longest),
+			fmt.Sprint(r.Took), fmt.Sprint(r.Ideal), r.Outcome,
+		})
+	}
+	out.Flush()
+	return out.Error()
+}
+
 func newRatios(ratio, added *hdrhistogram.Histogram) Ratios {
 	at := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / ratioScale }
 	return Ratios{
@@ -256,23 +300,3 @@
 	}
 	return t.Flush()
 }
-
-// revision returns the commit that the program was built from.
-func revision() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	rev, changed := "unknown", ""
-	for _, s := range info.Settings {
-		switch s.Key {
-		case "vcs.revision":
-			rev = s.Value[:min(len(s.Value), 9)]
-		case "vcs.modified":
-			if s.Value == "true" {
-				changed = "+"
-			}
-		}
-	}
-	return rev + changed
-}
--- a/standin/command/bench.go
+++ b/standin/command/bench.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -13,7 +14,7 @@
 
 func newBench() *cobra.Command {
 	cfg := bench.Default()
-	var file string
+	var file, rows string
 	cmd := &cobra.Command{
 		Use:   "bench",
 		Short: "Measure the whole path from callers to backend servers on loopback",
@@ -23,14 +24,13 @@
 			if err != nil {
 				return err
 			}
-			if err := rep.Write(cmd.OutOrStdout()); err != nil || file == "" {
+			if err := rep.Write(cmd.OutOrStdout()); err != nil {
 				return err
 			}
-			b, err := json.MarshalIndent(rep, "", "  ")
-			if err != nil {
+			if err := writeReport(rep, file); err != nil {
 				return err
 			}
-			return os.WriteFile(file, append(b, '\n'), 0o644)
+			return writeRows(rep, rows)
 		},
 	}
 	f := cmd.Flags()
@@ -44,5 +44,28 @@
 	f.StringVar(&cfg.Balance, "balance", cfg.Balance, fmt.Sprintf("how callers reach entries, one of %v", bench.Balances))
 	f.Float64Var(&cfg.Calls, "calls", cfg.Calls, "share of calls among the arrivals, 0 to 1")
 	f.StringVar(&file, "json", "", "also write the report to this file")
+	f.StringVar(&rows, "rows", "", "also write one line for each job and call to this file")
 	return cmd
 }
+
+func writeReport(rep *bench.Report, file string) error {
+	if file == "" {
+		return nil
+	}
+	b, err := json.MarshalIndent(rep, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(b, '\n'), 0o644)
+}
+
+func writeRows(rep *bench.Report, file string) error {
+	if file == "" {
+		return nil
+	}
+	var b bytes.Buffer
+	if err := rep.WriteRows(&b); err != nil {
+		return err
+	}
+	return os.WriteFile(file, b.Bytes(), 0o644)
+}
