--- a/standin/bench/hot_test.go
+++ b/standin/bench/hot_test.go
@@ -65,7 +65,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		item := q.Next(1)
+		item := q.Next(1, nil)
 		q.Took(item)
 		q.Returned(item)
 	}
--- a/standin/bench/ideal.go
+++ b/standin/bench/ideal.go
@@ -218,7 +218,7 @@
 		if group < 0 {
 			return
 		}
-		item := s.queue.Next(clock.FromDuration(now))
+		item := s.queue.Next(clock.FromDuration(now), nil)
 		i := s.items[item.ID()]
 		s.queue.Took(item)
 		span := s.trace[i].runs[s.taken[i]].Duration()
