Let tasks wait in the entry and not at agents, and share slots evenly

Cause: an agent held one waiting task for each entry, to hide the round trip of 1 ms. Such a task waits for one of 8 slots, about 50 ms at 80 % load, while a slot elsewhere frees every 5 ms. Beside that, the window followed the backlog, so a job of 277 tasks at one entry left another entry one slot an agent, and an entry learned of slots that others left only by heartbeats.

Change: windows are at most the slots and are shared evenly; a freed slot that the answered entry does not take is offered once to another; a start says whether it may wait at the agent; after a refusal the next attempt may.

The refusals are the price of knowing other entries' tasks late.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,8 @@
 
 const (
 	beatPeriod = clock.Second
+	// usedPeriod is the time between heartbeats on a link that is used but not preferred. It renews the leases in time.
+	usedPeriod = 3 * clock.Second
 	// idlePeriod is the time between heartbeats on a link that is not used.
 	idlePeriod = 5 * clock.Second
 	// activeFor is the time after the last start for which a link counts as used.
@@ -202,11 +204,15 @@
 }
 
 func (a *Agent) beatOn(now clock.Millis, name string, s *entryLink) {
+	a.sendLoad(now, message.TypeBeat, name, s)
+}
+
+func (a *Agent) sendLoad(now clock.Millis, kind message.Type, name string, s *entryLink) {
 	load := a.table.Load(name)
 	load.Stamp = now
 	s.told = now
 	// A link that cannot take the frame closes itself.
-	_ = s.link.Send(message.TypeBeat, 0, load)
+	_ = s.link.Send(kind, 0, load)
 }
 
 func (a *Agent) expire() {
@@ -224,6 +230,10 @@
 			a.run(v)
 		case slot.Halt:
 			a.halt(v.Key)
+		case slot.Tell:
+			if s := a.links[v.Entry]; s != nil {
+				a.sendLoad(a.cfg.Clock.Now(), message.TypeOffer, v.Entry, s)
+			}
 		case slot.Reply:
 			a.measures.replied(v.Done.Status)
 			a.reply(v)
--- a/agent/link.go
+++ b/agent/link.go
@@ -23,13 +23,19 @@
 	started clock.Millis
 }
 
-// due tells whether a heartbeat is due. An entry that uses this agent, or prefers it, needs a stamp every second and
-// must renew the leases of its tasks; starts and dones do both without a heartbeat. The others need a sign of life.
+// due tells whether a heartbeat is due. An entry that prefers this agent needs a stamp every second. One that uses it
+// must renew the leases of its tasks; if it needs a stamp for more, it asks. Starts and dones do both without a
+// heartbeat. The others need a sign of life.
 func (s *entryLink) due(now clock.Millis, idle bool) bool {
-	if !s.home && idle && now-s.started > activeFor {
+	quiet := now - min(s.told, max(s.renewed, s.started))
+	switch {
+	case s.home:
+		return quiet >= beatPeriod
+	case !idle || now-s.started <= activeFor:
+		return quiet >= usedPeriod
+	default:
 		return now-s.told >= idlePeriod
 	}
-	return now-min(s.told, max(s.renewed, s.started)) >= beatPeriod
 }
 
 // dial makes the missing links. The entries are those that rank highest for this agent.
--- a/entry/core.go
+++ b/entry/core.go
@@ -29,8 +29,10 @@
 	// wait a little for a slot, before the agent's bound of 3 s.
 	stampAge = 2200 * clock.Millis(1)
 	// silentAfter is the time in ms without a message after which the link to an agent with unfinished starts is
-	// closed. Such an agent sends at least a heartbeat a second.
-	silentAfter = 5 * clock.Second
+	// closed. Such an agent sends a heartbeat at least every 3 s.
+	silentAfter = 8 * clock.Second
+	// refusalMemory is the time in ms after a refusal for which starts may wait at an agent.
+	refusalMemory = 100 * clock.Millis(1)
 	// maxSkipped bounds the jobs that are passed over because no worker with room fits them.
 	maxSkipped = 16
 	// nudgePeriod is the least time in ms between two requests for a heartbeat.
@@ -124,6 +126,8 @@
 	listed     int
 	leaseStart clock.Millis
 	confirmed  clock.Millis
+	// refused is the time of the last refusal of a start.
+	refused clock.Millis
 	// born is the time at which the incarnation began.
 	born     clock.Millis
 	gate     uint64
@@ -306,10 +310,11 @@
 		_, ok := c.agents[agent].newest(now, c.confirmed)
 		return ok
 	}
-	agent, ok := c.fleet.Pick(now, want)
+	choice, ok := c.fleet.Pick(now, want)
 	if !ok {
 		return false
 	}
+	agent := choice.Agent
 	stamp, _ := c.agents[agent].newest(now, c.confirmed)
 	as, ok := c.jobs.Take(now, j, agent)
 	if !ok {
@@ -326,12 +331,19 @@
 		Job: as.Key.Job().String(), Task: as.Key.Task(), Attempt: as.Attempt, Call: call,
 		Kind: as.Task.Kind, Class: uint8(item.Class()), Payload: as.Task.Payload,
 		Stamp: stamp, Agent: c.fleet.Agent(agent).Hello().Incarnation, Version: c.gate,
-		Backlog: c.tasks.Waiting(), Declared: as.Task.Declared,
+		Backlog: c.tasks.Waiting(), Wait: c.waits(now, choice, as.Attempt), Declared: as.Task.Declared,
 		Trace: telemetry.Parent(span),
 	})
 	return true
 }
 
+// waits tells whether a start may wait at the agent for a slot. Otherwise the agent refuses it if no slot is free, and it
+// is sent elsewhere. After one refusal the next attempt waits, since the other agents are probably full too and each
+// refusal costs two messages.
+func (c *core) waits(now clock.Millis, choice placement.Choice, attempt uint32) bool {
+	return !choice.Free || attempt > 1 || now-c.refused < refusalMemory
+}
+
 // done handles the end of a start.
 func (c *core) done(now clock.Millis, agent string, d message.Done) error {
 	id, err := lavendercourse.ParseJobID(d.Job)
@@ -339,7 +351,7 @@
 		return err
 	}
 	c.agents[agent].stamp(now, d.Load.Stamp)
-	c.fleet.Report(agent, d.Load)
+	c.fleet.Report(now, agent, d.Load)
 	at := placement.Attempt{Key: lavendercourse.NewTaskKey(id, d.Task), Attempt: d.Attempt}
 	f, ok := c.flights[at]
 	if !ok || f.agent != agent {
@@ -365,6 +377,7 @@
 	if d.Status == message.StatusRefused && c.jobs.Returned(at.Key, f.agent, at.Attempt) {
 		q.Returned(f.item)
 		c.fleet.Pause(now, f.agent)
+		c.refused = now
 		return
 	}
 	q.Freed(f.team)
--- a/entry/link.go
+++ b/entry/link.go
@@ -167,12 +167,12 @@
 		return nil
 	}
 	switch f.Type {
-	case message.TypeBeat:
+	case message.TypeBeat, message.TypeOffer:
 		var load message.Load
 		if err := f.DecodeBody(&load); err != nil {
 			return err
 		}
-		r.beat(name, a, load)
+		r.beat(name, a, f.Type, load)
 	case message.TypeDone:
 		var d message.Done
 		if err := f.DecodeBody(&d); err != nil {
@@ -186,10 +186,13 @@
 	return nil
 }
 
-func (r *router) beat(name string, a *agentLink, load message.Load) {
+// beat handles a heartbeat, which is answered, or an offer of a free slot, which a start answers if there is one.
+func (r *router) beat(name string, a *agentLink, kind message.Type, load message.Load) {
 	now := r.clock.Now()
 	a.stamp(now, load.Stamp)
-	r.fleet.Report(name, load)
-	r.renew(a, false)
+	r.fleet.Report(now, name, load)
+	if kind == message.TypeBeat {
+		r.renew(a, false)
+	}
 	r.pump(now)
 }
--- a/message/body.go
+++ b/message/body.go
@@ -89,6 +89,8 @@
 	// Version is the configuration version under which the entry decided.
 	Version uint64 `cbor:"version"`
 	Backlog int    `cbor:"backlog,omitempty"`
+	// Wait lets the task wait for a slot. It is not set where the entry knows of other free slots.
+	Wait bool `cbor:"wait,omitempty"`
 	// Declared is the run time in ms that the caller declared.
 	Declared clock.Millis `cbor:"declared,omitempty"`
 	// Trace is the W3C traceparent of the span that sent the start.
--- a/message/frame.go
+++ b/message/frame.go
@@ -41,14 +41,15 @@
 	TypeHeard   Type = 15
 	TypeFetch   Type = 16
 	TypeState   Type = 17
+	TypeOffer   Type = 18
 )
 
 // TypeCount is one more than the highest type number.
-const TypeCount = 18
+const TypeCount = 19
 
 var typeNames = [TypeCount]string{
 	"unknown", "hello", "welcome", "beat", "renew", "start", "done", "stop", "leave", "resume", "pulse", "ack",
-	"forward", "reply", "ask", "heard", "fetch", "state",
+	"forward", "reply", "ask", "heard", "fetch", "state", "offer",
 }
 
 // String returns the name of the type, as used in metrics.
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -14,6 +14,10 @@
 // refusalPause is the time in ms for which an agent that refused a start gets nothing.
 const refusalPause = 100 * clock.Millis(1)
 
+// staleAfter is the age in ms above which the report of an agent that runs no task of this entry says little about its
+// free slots. It is about the mean run time of a task.
+const staleAfter = 300 * clock.Millis(1)
+
 // Config holds what a fleet needs to know about its entry.
 type Config struct {
 	// Policy chooses among the agents with room.
@@ -43,6 +47,8 @@
 	health  health
 	// paused is the time until which the agent gets nothing, after it refused a start.
 	paused clock.Millis
+	// reported is the time of the last report of load.
+	reported clock.Millis
 }
 
 // Hello returns what the agent said of itself.
@@ -163,9 +169,14 @@
 }
 
 // Report takes note of the load that an agent told.
-func (f *Fleet) Report(name string, load message.Load) {
-	if a := f.agents[name]; a != nil {
-		a.load = load
+func (f *Fleet) Report(now clock.Millis, name string, load message.Load) {
+	a := f.agents[name]
+	if a == nil {
+		return
+	}
+	a.load, a.reported = load, now
+	if load.Running < a.hello.Slots {
+		a.paused = 0
 	}
 }
 
@@ -213,21 +224,33 @@
 	return true
 }
 
+// Choice is the agent for a task or call.
+type Choice struct {
+	Agent string
+	// Free tells whether the agent is believed to have a free slot or connection. Otherwise the work has to wait there.
+	Free bool
+}
+
 // Pick returns the agent for the next task or call, or false if none has room.
-func (f *Fleet) Pick(now clock.Millis, want Want) (string, bool) {
+func (f *Fleet) Pick(now clock.Millis, want Want) (Choice, bool) {
 	f.candidates = f.candidates[:0]
 	bound := f.ejectable()
 	for i, a := range f.order {
 		if !f.usable(now, a, want, bound) {
 			continue
 		}
-		f.candidates = append(f.candidates, f.candidate(i, a, want))
+		c := f.candidate(now, i, a, want)
+		if !c.Free() && a.tasks() > 0 && !want.Call {
+			// A task waits at an agent only where no other task of this entry would tell of a free slot.
+			continue
+		}
+		f.candidates = append(f.candidates, c)
 	}
 	if len(f.candidates) == 0 {
-		return "", false
+		return Choice{}, false
 	}
-	chosen := f.cfg.Policy.Choose(f.candidates, f.rng.IntN)
-	return f.order[f.candidates[chosen].Index].hello.Name, true
+	chosen := f.candidates[f.cfg.Policy.Choose(f.candidates, f.rng.IntN)]
+	return Choice{Agent: f.order[chosen.Index].hello.Name, Free: chosen.Free()}, true
 }
 
 // Fits tells whether any known worker could ever run the work.
@@ -264,7 +287,7 @@
 	return a.tasks() < a.load.Window && a.health.open(now, a.tasks(), bound)
 }
 
-func (f *Fleet) candidate(i int, a *Agent, want Want) lavendercourse.Candidate {
+func (f *Fleet) candidate(now clock.Millis, i int, a *Agent, want Want) lavendercourse.Candidate {
 	c := lavendercourse.Candidate{Index: i, Home: a.home, Near: f.near(a)}
 	if want.Call {
 		c.Limit, c.Used = a.hello.Connections, a.load.Calls
@@ -273,6 +296,7 @@
 	c.Limit = a.hello.Slots
 	// Tasks of this entry that the last report did not count yet are in Running already, see Sent.
 	c.Used = max(a.load.Running+a.load.Pending, a.tasks())
+	c.Stale = a.tasks() == 0 && now-a.reported > staleAfter
 	return c
 }
 
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -37,6 +37,7 @@
 		return first(
 			order(!a.Free(), !b.Free()),
 			order(a.Free() && !a.Home, b.Free() && !b.Home),
+			order(a.Stale, b.Stale),
 			compareLoad(a, b),
 			a.Near-b.Near,
 		)
--- a/policy.go
+++ b/policy.go
@@ -9,6 +9,8 @@
 	Limit int
 	// Home tells whether the agent ranks this entry first.
 	Home bool
+	// Stale tells whether Used may no longer be true.
+	Stale bool
 	// Near is 0 for the entry's own failure domain, 1 for its region, 2 for another region.
 	Near int
 }
--- a/slot/action.go
+++ b/slot/action.go
@@ -5,7 +5,7 @@
 	"github.com/lavendercourse/lavendercourse/message"
 )
 
-// Action is something that the table asks the agent to do: Run, Halt or Reply.
+// Action is something that the table asks the agent to do: Run, Halt, Reply or Tell.
 type Action interface {
 	isAction()
 }
@@ -30,6 +30,12 @@
 	Done  message.Done
 }
 
+// Tell asks to send the load to an entry, which has tasks waiting and may not know of a free slot.
+type Tell struct {
+	Entry string
+}
+
 func (Run) isAction()   {}
 func (Halt) isAction()  {}
 func (Reply) isAction() {}
+func (Tell) isAction()  {}
--- a/slot/table.go
+++ b/slot/table.go
@@ -96,6 +96,8 @@
 	running int
 	pending int
 	calls   int
+	// told is set when the entry was told of a free slot since it last reported its backlog.
+	told bool
 }
 
 func (u entryUse) busy() int { return u.running + u.pending }
@@ -135,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t.use(entry).backlog = s.Backlog
+	t.report(entry, s.Backlog)
 	if s.Agent != string(t.cfg.Incarnation) {
 		return []Action{t.unknown(entry, s, "start is meant for another incarnation of the agent")}, nil
 	}
@@ -190,7 +192,37 @@
 	reply := t.reply(n)
 	// The result is told once even if it is too large to be kept.
 	t.keep(n)
-	return append([]Action{reply}, next...)
+	actions := append([]Action{reply}, next...)
+	return append(actions, t.offer(n.entry)...)
+}
+
+// offer tells an entry of a free slot that nothing here waits for, unless the entry that gets an answer now will take
+// it. Without this, an entry learns only by its own answers and by heartbeats that the tasks of others have ended. An
+// entry is told once for each time it reports its backlog.
+func (t *Table) offer(answered string) []Action {
+	if t.leaving || t.pending > 0 || !t.free() || t.wants(answered) {
+		return nil
+	}
+	chosen := ""
+	for name, u := range t.entries {
+		if name == answered || u.told || !t.wants(name) {
+			continue
+		}
+		if c := t.entries[chosen]; c == nil || u.backlog > c.backlog || (u.backlog == c.backlog && name < chosen) {
+			chosen = name
+		}
+	}
+	if chosen == "" {
+		return nil
+	}
+	t.entries[chosen].told = true
+	return []Action{Tell{Entry: chosen}}
+}
+
+// wants tells whether an entry has tasks waiting and may have one more here.
+func (t *Table) wants(entry string) bool {
+	u := t.entries[entry]
+	return u != nil && u.backlog > 0 && u.busy() < t.window(entry)
 }
 
 // Stop handles a request to stop tasks. Tasks not seen yet are barred from starting.
@@ -232,7 +264,7 @@
 
 // Renew handles the answer to a beat: it renews the leases of all tasks of the entry's incarnation.
 func (t *Table) Renew(now clock.Millis, entry string, owner lavendercourse.Incarnation, r message.Renew) {
-	t.use(entry).backlog = r.Backlog
+	t.report(entry, r.Backlog)
 	t.leases[owner] = now
 	if r.Version > t.version {
 		t.version = r.Version
@@ -319,25 +351,44 @@
 	return message.Load{Running: t.running, Pending: t.pending, Calls: t.calls, Window: t.window(entry)}
 }
 
-// window shares the slots among the entries by their backlog. Each may have one task more than its share waiting here,
-// which starts as soon as a slot frees.
+// window returns the number of tasks that an entry may have here. Entries with tasks waiting share the slots evenly,
+// however many wait, so that a large job at one entry does not hold up the small ones at the others. What an entry does
+// not use is left to the rest: a slot that frees is kept for an entry below its share only until it was told once.
+//
+// Every entry may have one task here, so that it gets to know when others leave slots to it. None may have more than
+// there are slots: a task that waits here cannot take a slot that frees elsewhere, which costs far more time than the
+// round trip for which a slot is idle without a task that waits.
 func (t *Table) window(entry string) int {
 	if t.leaving {
 		return 0
 	}
-	me, hungry, used := t.use(entry), 0, 0
+	share := t.share(entry)
+	left := t.cfg.Slots
 	for name, u := range t.entries {
 		if name == entry {
 			continue
 		}
-		hungry += u.backlog
-		used += u.busy()
+		left -= u.busy()
+		if u.backlog > 0 && !u.told && u.busy() < share {
+			left--
+		}
 	}
-	if hungry == 0 {
-		return max(t.cfg.Slots-used, 0) + 1
+	return max(left, share)
+}
+
+// share returns the even part of the slots for an entry, among itself and the others that have tasks waiting. It is 1 if
+// no other has, since then the entry gets what is left anyway.
+func (t *Table) share(entry string) int {
+	hungry := 1
+	for name, u := range t.entries {
+		if name != entry && u.backlog > 0 {
+			hungry++
+		}
+	}
+	if hungry == 1 {
+		return 1
 	}
-	total := hungry + me.backlog
-	return (t.cfg.Slots*me.backlog+total-1)/total + 1
+	return max(t.cfg.Slots/hungry, 1)
 }
 
 func (t *Table) refusal(now clock.Millis, s message.Start) string {
@@ -350,7 +401,7 @@
 		return "start was decided under an old failure domain state"
 	case t.running+t.calls >= t.cfg.Connections && s.Call:
 		return "no connection is free"
-	case !s.Call && !t.free() && t.pending >= t.cfg.Slots:
+	case !s.Call && !t.free() && (!s.Wait || t.pending >= t.cfg.Slots):
 		return "no slot is free"
 	}
 	return ""
@@ -549,6 +600,12 @@
 	delete(t.tasks, key)
 }
 
+// report takes note of the number of tasks that wait at an entry.
+func (t *Table) report(entry string, backlog int) {
+	u := t.use(entry)
+	u.backlog, u.told = backlog, false
+}
+
 func (t *Table) use(entry string) *entryUse {
 	u := t.entries[entry]
 	if u == nil {
