Submit jobs on the connection on which their ids were reserved

The client now keeps four HTTP/2 connections, each with its own block of ids. A job that an entry turns away because it is stopping is submitted elsewhere with a new id.

An entry that does not yet find itself on the entries list no longer holds a quorum lease: the majority of such a list need not know of it.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -14,7 +16,6 @@
 
 	"github.com/lavendercourse/lavendercourse/clock"
 	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
-	"github.com/lavendercourse/lavendercourse/schema/dispatch/v1/dispatchv1connect"
 	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
@@ -26,8 +27,14 @@
 	ErrUnreachable = eris.New("no entry answered")
 )
 
-// DefaultBlock is the number of ids reserved at once.
-const DefaultBlock = 32
+// Defaults of Config.
+const (
+	DefaultBlock = 32
+	DefaultLanes = 4
+)
+
+// maxHanded bounds the ids that were handed out and not submitted.
+const maxHanded = 10_000
 
 // Config holds the settings of a client. Zero values select the defaults.
 type Config struct {
@@ -37,7 +44,12 @@
 	Block int
 	// Pause is the time in ms between two attempts.
 	Pause clock.Millis
-	// HTTP may be set to use other connections than the default ones.
+	// Lanes is the number of connections. Each goes to one entry behind the balancer, and jobs are submitted on the
+	// connection on which their ids were reserved, so that they need not be forwarded to the entry that owns them.
+	Lanes int
+	// Dial may be set to open the connections in another way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// HTTP may be set to use an HTTP client in place of lanes.
 	HTTP *http.Client
 	// Tracer may be set to trace requests.
 	Tracer *telemetry.Tracer
@@ -45,12 +57,13 @@
 
 // Client submits jobs and calls. It is safe for use by several goroutines.
 type Client struct {
-	cfg      Config
-	dispatch dispatchv1connect.DispatchServiceClient
+	cfg   Config
+	lanes []*lane
+	next  atomic.Uint64
 
-	mu      sync.Mutex
-	ids     []string
-	expires time.Time
+	mu sync.Mutex
+	// handed holds the lanes of the ids that Reserve has handed out.
+	handed map[string]*lane
 }
 
 // New returns a client. It connects when it is used.
@@ -61,55 +74,87 @@
 	if cfg.Pause == 0 {
 		cfg.Pause = 200
 	}
-	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+	if cfg.Lanes == 0 {
+		cfg.Lanes = DefaultLanes
+	}
+	if cfg.HTTP != nil {
+		cfg.Lanes = 1
+	}
+	c := &Client{cfg: cfg, handed: map[string]*lane{}}
+	for range cfg.Lanes {
+		c.lanes = append(c.lanes, newLane(cfg))
 	}
-	traced := connect.WithInterceptors(cfg.Tracer.Interceptor())
-	return &Client{cfg: cfg, dispatch: dispatchv1connect.NewDispatchServiceClient(cfg.HTTP, "http://"+cfg.Address, traced)}
+	return c
 }
 
 // Reserve returns an unused job id. Most calls need no request.
 func (c *Client) Reserve(ctx context.Context) (string, error) {
+	id, l, err := c.reserve(ctx, c.lane())
+	if err != nil {
+		return "", err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.ids) == 0 || time.Now().After(c.expires) {
-		if err := c.fetch(ctx); err != nil {
-			return "", err
-		}
+	if len(c.handed) >= maxHanded {
+		// Some were never submitted. Without its lane a job only takes one more hop.
+		clear(c.handed)
 	}
-	id := c.ids[0]
-	c.ids = c.ids[1:]
+	c.handed[id] = l
 	return id, nil
 }
 
+// laneOf returns the lane on which an id was reserved, or the next lane.
+func (c *Client) laneOf(id string) *lane {
+	c.mu.Lock()
+	l := c.handed[id]
+	delete(c.handed, id)
+	c.mu.Unlock()
+	if l == nil {
+		return c.lane()
+	}
+	return l
+}
+
+// reserve returns an unused id and the lane on which it was reserved. The given lane is tried first, then the others.
+func (c *Client) reserve(ctx context.Context, l *lane) (string, *lane, error) {
+	id, err := l.reserve(ctx)
+	for range len(c.lanes) - 1 {
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		l = c.lane()
+		id, err = l.reserve(ctx)
+	}
+	return id, l, err
+}
+
 // Submit runs a job and waits for its answer. If the request has no id, one is reserved. A lost answer, or one that
-// makes no claim yet, leads to a resubmission with the same id until ctx ends.
+// makes no claim yet, leads to a resubmission with the same id until ctx ends. If the id was reserved here and an entry
+// has turned the job away because it cannot take any, the job is submitted elsewhere with a new id.
 func (c *Client) Submit(ctx context.Context, req *dispatchv1.SubmitRequest) (*dispatchv1.SubmitResponse, error) {
 	ctx, span := c.cfg.Tracer.Begin(ctx, trace.SpanKindInternal, "caller submit")
 	defer span.End()
+	l := c.laneOf(req.GetId())
 	reserved := req.GetId() == ""
-	if reserved {
-		id, err := c.Reserve(ctx)
-		if err != nil {
-			return nil, err
-		}
-		req.Id = id
-	}
 	for first := true; ; first = false {
-		resp, err := c.dispatch.Submit(ctx, connect.NewRequest(req))
-		if first && reserved && err == nil && isUnused(resp.Msg.GetVerdict()) {
-			// The owner of the reserved ids cannot be reached and has not seen this one.
-			if req.Id, err = c.replace(ctx); err != nil {
+		if req.GetId() == "" {
+			id, by, err := c.reserve(ctx, l)
+			if err != nil {
 				return nil, err
 			}
-			continue
-		}
-		if err == nil && !isOpen(resp.Msg.GetVerdict()) {
-			return resp.Msg, nil
+			req.Id, l, first = id, by, true
 		}
-		if err != nil && connect.CodeOf(err) == connect.CodeInvalidArgument {
+		resp, err := l.dispatch.Submit(ctx, connect.NewRequest(req))
+		switch v := verdictOf(resp, err); {
+		case err != nil && connect.CodeOf(err) == connect.CodeInvalidArgument:
 			return nil, eris.Wrapf(ErrInvalid, "%v", err)
+		case reserved && (isTurnedAway(v) || (first && isUnused(v))):
+			l.drop()
+			req.Id = ""
+		case err == nil && !isOpen(v):
+			return resp.Msg, nil
 		}
+		l = c.lane()
 		select {
 		case <-ctx.Done():
 			return nil, eris.Wrapf(ErrUnreachable, "job %s: %v", req.GetId(), ctx.Err())
@@ -118,17 +163,9 @@
 	}
 }
 
-// replace drops the reserved ids and returns one of a new block.
-func (c *Client) replace(ctx context.Context) (string, error) {
-	c.mu.Lock()
-	c.ids = nil
-	c.mu.Unlock()
-	return c.Reserve(ctx)
-}
-
 // Status tells how far a job is.
 func (c *Client) Status(ctx context.Context, id string) (*dispatchv1.StatusResponse, error) {
-	resp, err := c.dispatch.Status(ctx, connect.NewRequest(&dispatchv1.StatusRequest{Id: id}))
+	resp, err := c.lane().dispatch.Status(ctx, connect.NewRequest(&dispatchv1.StatusRequest{Id: id}))
 	if err != nil {
 		return nil, translate(err)
 	}
@@ -137,7 +174,7 @@
 
 // Cancel ends a job as failed.
 func (c *Client) Cancel(ctx context.Context, id string) (*dispatchv1.CancelResponse, error) {
-	resp, err := c.dispatch.Cancel(ctx, connect.NewRequest(&dispatchv1.CancelRequest{Id: id}))
+	resp, err := c.lane().dispatch.Cancel(ctx, connect.NewRequest(&dispatchv1.CancelRequest{Id: id}))
 	if err != nil {
 		return nil, translate(err)
 	}
@@ -148,26 +185,29 @@
 func (c *Client) Call(ctx context.Context, req *dispatchv1.CallRequest) (*dispatchv1.CallResponse, error) {
 	ctx, span := c.cfg.Tracer.Begin(ctx, trace.SpanKindInternal, "caller call")
 	defer span.End()
-	resp, err := c.dispatch.Call(ctx, connect.NewRequest(req))
+	resp, err := c.lane().dispatch.Call(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, translate(err)
 	}
 	return resp.Msg, nil
 }
 
-func (c *Client) fetch(ctx context.Context) error {
-	asked := time.Now()
-	resp, err := c.dispatch.Reserve(ctx, connect.NewRequest(&dispatchv1.ReserveRequest{Count: uint32(c.cfg.Block)}))
+func (c *Client) lane() *lane {
+	return c.lanes[c.next.Add(1)%uint64(len(c.lanes))]
+}
+
+// verdictOf returns the verdict of a response, or nil if there is none.
+func verdictOf(resp *connect.Response[dispatchv1.SubmitResponse], err error) *dispatchv1.Verdict {
 	if err != nil {
-		return translate(err)
+		return nil
 	}
-	c.ids = resp.Msg.GetIds()
-	// Half of the time is left for the submission itself.
-	c.expires = asked.Add(time.Duration(resp.Msg.GetValidMs()) * time.Millisecond / 2)
-	if len(c.ids) == 0 {
-		return eris.Wrap(ErrUnreachable, "the entry issued no ids")
-	}
-	return nil
+	return resp.Msg.GetVerdict()
+}
+
+// isTurnedAway tells whether an entry has refused a job for a reason that other entries need not share.
+func isTurnedAway(v *dispatchv1.Verdict) bool {
+	return v.GetOutcome() == dispatchv1.Outcome_OUTCOME_REFUSED &&
+		(v.GetReason() == dispatchv1.Reason_REASON_STOPPING || v.GetReason() == dispatchv1.Reason_REASON_AGAIN)
 }
 
 // isOpen tells whether the owner may still give an answer.
--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,87 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercourse/lavendercourse/caller"
+	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
+	"github.com/lavendercourse/lavendercourse/schema/dispatch/v1/dispatchv1connect"
+)
+
+// fake answers each submission with the next of its verdicts and remembers the ids.
+type fake struct {
+	dispatchv1connect.UnimplementedDispatchServiceHandler
+	mu       sync.Mutex
+	issued   int
+	verdicts []*dispatchv1.Verdict
+	ids      []string
+}
+
+func (f *fake) Reserve(context.Context, *connect.Request[dispatchv1.ReserveRequest]) (*connect.Response[dispatchv1.ReserveResponse], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.issued++
+	return connect.NewResponse(&dispatchv1.ReserveResponse{Ids: []string{fmt.Sprint("id", f.issued)}, ValidMs: 60_000}), nil
+}
+
+func (f *fake) Submit(_ context.Context, r *connect.Request[dispatchv1.SubmitRequest]) (*connect.Response[dispatchv1.SubmitResponse], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ids = append(f.ids, r.Msg.GetId())
+	v := f.verdicts[0]
+	f.verdicts = f.verdicts[1:]
+	return connect.NewResponse(&dispatchv1.SubmitResponse{Verdict: v}), nil
+}
+
+// Guards against a job that runs twice because it was submitted with a new id, and against one that is given up or
+// asked for with an id that can never run.
+func TestSubmitKeepsOrReplacesTheID(t *testing.T) {
+	complete := &dispatchv1.Verdict{Outcome: dispatchv1.Outcome_OUTCOME_COMPLETE}
+	again := func(ran dispatchv1.Ran) *dispatchv1.Verdict {
+		return &dispatchv1.Verdict{Outcome: dispatchv1.Outcome_OUTCOME_UNKNOWN, Reason: dispatchv1.Reason_REASON_AGAIN, Ran: ran}
+	}
+	refused := func(r dispatchv1.Reason) *dispatchv1.Verdict {
+		return &dispatchv1.Verdict{Outcome: dispatchv1.Outcome_OUTCOME_REFUSED, Reason: r, Ran: dispatchv1.Ran_RAN_NOTHING}
+	}
+	for _, tc := range []struct {
+		name     string
+		id       string
+		verdicts []*dispatchv1.Verdict
+		want     []string
+	}{
+		{"answer may have been lost", "", []*dispatchv1.Verdict{again(dispatchv1.Ran_RAN_SOME), complete}, []string{"id1", "id1"}},
+		{"first request did not reach the owner", "", []*dispatchv1.Verdict{again(dispatchv1.Ran_RAN_NOTHING), complete}, []string{"id1", "id2"}},
+		{
+			"a later request did not reach the owner", "",
+			[]*dispatchv1.Verdict{again(dispatchv1.Ran_RAN_SOME), again(dispatchv1.Ran_RAN_NOTHING), complete},
+			[]string{"id1", "id1", "id1"},
+		},
+		{"entry is stopping", "", []*dispatchv1.Verdict{refused(dispatchv1.Reason_REASON_STOPPING), complete}, []string{"id1", "id2"}},
+		{"queue is full", "", []*dispatchv1.Verdict{refused(dispatchv1.Reason_REASON_FULL)}, []string{"id1"}},
+		{"the caller's own id is never replaced", "mine", []*dispatchv1.Verdict{again(dispatchv1.Ran_RAN_NOTHING), complete}, []string{"mine", "mine"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := &fake{verdicts: tc.verdicts}
+			_, handler := dispatchv1connect.NewDispatchServiceHandler(f)
+			s := httptest.NewUnstartedServer(handler)
+			p := &http.Protocols{}
+			p.SetHTTP1(true)
+			p.SetUnencryptedHTTP2(true)
+			s.Config.Protocols = p
+			s.Start()
+			defer s.Close()
+			c := caller.New(caller.Config{Address: s.Listener.Addr().String(), Pause: 1})
+			_, err := c.Submit(t.Context(), &dispatchv1.SubmitRequest{Id: tc.id})
+			assert.NilError(t, err)
+			assert.DeepEqual(t, f.ids, tc.want)
+		})
+	}
+}
--- a/entry/core.go
+++ b/entry/core.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -191,15 +192,19 @@
 	return c.leaseStart >= c.born && now-c.leaseStart <= c.quorumLease()
 }
 
+// listedSelf tells whether this entry is on the list that it knows. Before that, a majority of the list need not include
+// any entry that knows of this one.
+func (c *core) listedSelf() bool { return slices.Contains(c.names, c.cfg.Name) }
+
 // refresh works out what depends on the list, the acknowledgements and the configuration.
 func (c *core) refresh(now clock.Millis) {
 	// What a majority of an earlier list has acknowledged stays true when the list grows.
 	c.leaseStart = max(c.leaseStart, c.quorum.LeaseStart(now, c.names))
-	settled := c.state.Based() && c.quorum.Settled(c.names, c.state.Version())
+	settled := c.listedSelf() && c.state.Based() && c.quorum.Settled(c.names, c.state.Version())
 	if settled {
 		c.confirmed = max(c.confirmed, c.quorum.Confirmed(now, c.names, c.state.Version()))
 	}
-	held := c.leased(now)
+	held := c.listedSelf() && c.leased(now)
 	if c.held && !held {
 		c.endIncarnation(now)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,7 +20,11 @@
 	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
-const drainPoll = 20 * time.Millisecond
+const (
+	drainPoll = 20 * time.Millisecond
+	// maxStreams is the number of requests that may wait on one connection of a caller.
+	maxStreams = 10_000
+)
 
 // Entry is one running entry.
 type Entry struct {
@@ -53,7 +57,11 @@
 	d := newDispatcher(c, x)
 	x.server = d
 	e := &Entry{core: c, router: &router{core: c, peer: x}, follower: newFollower(c), cancel: cancel}
-	e.callers = &http.Server{Handler: e.callerRoutes(d), ReadHeaderTimeout: 5 * time.Second, Protocols: protocols()}
+	e.callers = &http.Server{
+		Handler: e.callerRoutes(d), ReadHeaderTimeout: 5 * time.Second, Protocols: protocols(),
+		// Each waiting job of a caller is a stream.
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
 	e.links = &http.Server{Handler: e.linkRoutes(), ReadHeaderTimeout: 5 * time.Second}
 	e.done = e.tree(x).ServeBackground(ctx)
 	event.Started.On(c.logger).Str("entry", cfg.Name).Str("callers", cfg.Callers.Addr().String()).
--- a/standin/bench/system.go
+++ b/standin/bench/system.go
@@ -238,9 +238,7 @@
 
 // client returns a client that reaches the given entry only.
 func (s *system) client(i int) *caller.Client {
-	return caller.New(caller.Config{Address: s.fronts[i], HTTP: &http.Client{Transport: &http.Transport{
-		DialContext: s.callers.dial, MaxIdleConnsPerHost: idleConns,
-	}}})
+	return caller.New(caller.Config{Address: s.fronts[i], Dial: s.callers.dial})
 }
 
 // balanced returns a client whose connections go to all entries in turn.
@@ -249,9 +247,7 @@
 		i := s.next.Add(1) % uint64(len(s.fronts))
 		return s.callers.dial(ctx, network, s.fronts[i])
 	}
-	return caller.New(caller.Config{Address: "balancer", HTTP: &http.Client{Transport: &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: idleConns,
-	}}})
+	return caller.New(caller.Config{Address: "balancer", Dial: dial})
 }
 
 // groups returns the number of slots in each failure domain.
