--- a/agent/agent.go
+++ b/agent/agent.go
@@ -63,7 +63,7 @@
 	cfg    Config
 	ctx    context.Context
 	cancel context.CancelFunc
-	done   <-chan error
+	done   chan struct{}
 
 	measures *measures
 
@@ -96,7 +96,7 @@
 	cfg.Slots.Incarnation = lavendercourse.NewIncarnation()
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
-		cfg: cfg, ctx: ctx, cancel: cancel, table: slot.New(cfg.Slots),
+		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}), table: slot.New(cfg.Slots),
 		links: map[string]*link.Link{}, entries: map[string]string{},
 		running:  map[lavendercourse.TaskKey]context.CancelFunc{},
 		measures: newMeasures(telemetry.NewMetrics(cfg.Counters)),
@@ -111,7 +111,11 @@
 	if cfg.Metrics != nil {
 		s.Add(newWeb(a, cfg.Metrics))
 	}
-	a.done = s.ServeBackground(ctx)
+	ended := s.ServeBackground(ctx)
+	go func() {
+		<-ended
+		close(a.done)
+	}()
 	event.Started.On(cfg.Logger).Str("agent", cfg.Name).Send()
 	return a, nil
 }
@@ -145,7 +149,7 @@
 	return nil
 }
 
-// Kill ends the agent at once.
+// Kill ends the agent at once. It may be called again.
 func (a *Agent) Kill() {
 	a.cancel()
 	a.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,7 +30,7 @@
 	callers  *http.Server
 	links    *http.Server
 	cancel   context.CancelFunc
-	done     <-chan error
+	done     chan struct{}
 }
 
 // New starts an entry. It runs until Stop or Kill is called.
@@ -52,10 +52,14 @@
 	x := newExchange(ctx, c)
 	d := newDispatcher(c, x)
 	x.server = d
-	e := &Entry{core: c, router: &router{core: c, peer: x}, follower: newFollower(c), cancel: cancel}
+	e := &Entry{core: c, router: &router{core: c, peer: x}, follower: newFollower(c), cancel: cancel, done: make(chan struct{})}
 	e.callers = &http.Server{Handler: e.callerRoutes(d), ReadHeaderTimeout: 5 * time.Second, Protocols: protocols()}
 	e.links = &http.Server{Handler: e.linkRoutes(), ReadHeaderTimeout: 5 * time.Second}
-	e.done = e.tree(x).ServeBackground(ctx)
+	ended := e.tree(x).ServeBackground(ctx)
+	go func() {
+		<-ended
+		close(e.done)
+	}()
 	event.Started.On(c.logger).Str("entry", cfg.Name).Str("callers", cfg.Callers.Addr().String()).
 		Str("links", cfg.Links.Addr().String()).Send()
 	return e, nil
@@ -85,7 +89,7 @@
 	return err
 }
 
-// Kill ends the entry at once.
+// Kill ends the entry at once. It may be called again.
 func (e *Entry) Kill() {
 	e.cancel()
 	_ = e.callers.Close()
--- a/telemetry/harness_test.go
+++ b/telemetry/harness_test.go
@@ -40,6 +40,7 @@
 // site is the log, two entries, one agent and one backend server in this process.
 type site struct {
 	entries []*entry.Entry
+	agents  []*agent.Agent
 	callers []string
 	agent   string
 	spans   *tracetest.InMemoryExporter
@@ -68,6 +69,7 @@
 	})
 	assert.NilError(t, err)
 	t.Cleanup(a.Kill)
+	s.agents = append(s.agents, a)
 	s.awaitReady(t)
 	return s
 }
