--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,6 +74,8 @@
 	entries map[string]string
 	running map[lavendercourse.TaskKey]context.CancelFunc
 	leaving bool
+	// failing holds the addresses that could not be dialed, so that each is logged once.
+	failing map[string]bool
 }
 
 // New starts an agent. It runs until Stop or Kill is called.
@@ -99,6 +101,7 @@
 		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}), table: slot.New(cfg.Slots),
 		links: map[string]*link.Link{}, entries: map[string]string{},
 		running:  map[lavendercourse.TaskKey]context.CancelFunc{},
+		failing:  map[string]bool{},
 		measures: newMeasures(telemetry.NewMetrics(cfg.Counters)),
 	}
 	a.measures.metrics.Collect(a.collect)
@@ -137,6 +140,7 @@
 	for a.busy() > 0 {
 		select {
 		case <-ctx.Done():
+			event.CutOff.On(a.cfg.Logger).Int("tasks", a.busy()).Send()
 			a.Kill()
 			return eris.Wrap(ctx.Err(), "work was still running")
 		case <-time.After(drainPoll):
@@ -191,7 +195,17 @@
 func (a *Agent) expire() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.perform(a.table.Expire(a.cfg.Clock.Now()))
+	actions := a.table.Expire(a.cfg.Clock.Now())
+	stopped := 0
+	for _, action := range actions {
+		if _, ok := action.(slot.Halt); ok {
+			stopped++
+		}
+	}
+	if stopped > 0 {
+		event.LeaseStopped.On(a.cfg.Logger).Int("tasks", stopped).Send()
+	}
+	a.perform(actions)
 }
 
 // perform carries out what the table decided.
@@ -204,7 +218,7 @@
 		case slot.Halt:
 			a.halt(v.Key)
 		case slot.Reply:
-			a.measures.replied(v.Done.Status)
+			a.replied(v)
 			if l := a.links[v.Entry]; l != nil {
 				_ = l.Send(message.TypeDone, 0, v.Done)
 			}
@@ -212,6 +226,16 @@
 	}
 }
 
+// replied counts and logs a reply.
+func (a *Agent) replied(r slot.Reply) {
+	a.measures.replied(r.Done.Status)
+	if r.Done.Status != message.StatusRefused && r.Done.Status != message.StatusUnknown {
+		return
+	}
+	event.StartRefused.On(a.cfg.Logger).Str("entry", r.Entry).Str("job", r.Done.Job).Uint32("task", r.Done.Task).
+		Stringer("status", r.Done.Status).Str("cause", r.Done.Error).Send()
+}
+
 // run starts work on the backend server.
 func (a *Agent) run(r slot.Run) {
 	ctx, cancel := context.WithCancel(a.ctx)
--- a/agent/link.go
+++ b/agent/link.go
@@ -12,8 +12,13 @@
 	for _, address := range a.missing() {
 		l, err := a.cfg.Dialer.Dial(a.ctx, address, link.Config{Handler: a, Counters: a.cfg.Counters})
 		if err != nil {
+			if !a.failing[address] && a.ctx.Err() == nil {
+				event.LinkFailed.On(a.cfg.Logger).Str("address", address).Err(err).Send()
+			}
+			a.failing[address] = true
 			continue
 		}
+		delete(a.failing, address)
 		if l.Send(message.TypeHello, 0, a.hello()) != nil {
 			l.Close()
 		}
@@ -101,6 +106,7 @@
 // Closed takes note that a link has ended.
 func (a *Agent) Closed(l *link.Link) {
 	entry, ok := l.Tag().(string)
+	l.LogEnd(a.cfg.Logger, entry)
 	if !ok {
 		return
 	}
@@ -109,7 +115,6 @@
 	if a.links[entry] == l {
 		delete(a.links, entry)
 		a.table.Unlinked(entry)
-		event.LinkClosed.On(a.cfg.Logger).Str("peer", entry).Send()
 	}
 }
 
--- a/entry/core.go
+++ b/entry/core.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -36,6 +37,8 @@
 	lost clock.Millis
 	// told counts the changes of the entries list that were sent.
 	told int
+	// ejected tells whether the worker was ejected when its health was last logged.
+	ejected bool
 }
 
 // newest returns the newest stamp received at or before the given time.
@@ -81,6 +84,10 @@
 	past    map[lavendercourse.Incarnation]clock.Millis
 	// spans holds the spans of the jobs that are traced.
 	spans map[lavendercourse.JobID]trace.Span
+	// declared holds the owners that were declared gone, so that each is logged once.
+	declared map[lavendercourse.Incarnation]clock.Millis
+	// drained holds the failure domains that are out of service.
+	drained map[string]bool
 
 	// names is the entries list, and leaseStart and confirmed what follows from it; see refresh.
 	names      []string
@@ -102,21 +109,23 @@
 	cfg.Jobs.Incarnation = lavendercourse.NewIncarnation()
 	c := &core{
 		cfg: cfg, clock: cfg.Clock, logger: cfg.Logger, measures: newMeasures(m),
-		jobs:    job.New(cfg.Jobs),
-		tasks:   admission.New(cfg.Queue),
-		calls:   admission.New(cfg.Queue),
-		fleet:   placement.New(placement.Config{Policy: cfg.Policy, Entry: cfg.Name, Region: cfg.Region, Domain: cfg.Domain, Seed: cfg.Seed}),
-		list:    member.NewList(),
-		quorum:  member.NewQuorum(now, cfg.Quorum),
-		state:   config.New(),
-		agents:  map[string]*agentLink{},
-		peers:   map[string]*link.Link{},
-		items:   map[lavendercourse.JobID]*admission.Item{},
-		flights: map[placement.Attempt]flight{},
-		waiters: map[lavendercourse.JobID]chan struct{}{},
-		past:    map[lavendercourse.Incarnation]clock.Millis{},
-		spans:   map[lavendercourse.JobID]trace.Span{},
-		parked:  true, announce: true,
+		jobs:     job.New(cfg.Jobs),
+		tasks:    admission.New(cfg.Queue),
+		calls:    admission.New(cfg.Queue),
+		fleet:    placement.New(placement.Config{Policy: cfg.Policy, Entry: cfg.Name, Region: cfg.Region, Domain: cfg.Domain, Seed: cfg.Seed}),
+		list:     member.NewList(),
+		quorum:   member.NewQuorum(now, cfg.Quorum),
+		state:    config.New(),
+		agents:   map[string]*agentLink{},
+		peers:    map[string]*link.Link{},
+		items:    map[lavendercourse.JobID]*admission.Item{},
+		flights:  map[placement.Attempt]flight{},
+		waiters:  map[lavendercourse.JobID]chan struct{}{},
+		past:     map[lavendercourse.Incarnation]clock.Millis{},
+		spans:    map[lavendercourse.JobID]trace.Span{},
+		declared: map[lavendercourse.Incarnation]clock.Millis{},
+		drained:  map[string]bool{},
+		parked:   true, announce: true,
 	}
 	m.Collect(c.collect)
 	return c
@@ -185,9 +194,7 @@
 		c.measures.took(j.Verdict().Outcome, now-j.Arrived())
 		c.tasks.Remove(j.ID())
 		c.calls.Remove(j.ID())
-		if v := j.Verdict(); v.Outcome == lavendercourse.Failed {
-			event.JobFailed.On(c.logger).Str("job", j.ID().String()).Str("message", v.Message).Send()
-		}
+		c.logEnd(j)
 		if ch := c.waiters[j.ID()]; ch != nil {
 			close(ch)
 			delete(c.waiters, j.ID())
@@ -332,6 +339,12 @@
 			c.rehome()
 		}
 	}
+	c.logHealth()
+	for inc, at := range c.declared {
+		if now-at > 2*job.DefaultLifetime {
+			delete(c.declared, inc)
+		}
+	}
 	for inc, at := range c.past {
 		if now-at > 2*job.DefaultLifetime {
 			delete(c.past, inc)
@@ -343,7 +356,10 @@
 // configured applies a change of the configuration.
 func (c *core) configured() {
 	c.gate = c.state.Gate()
-	c.fleet.SetDrained(c.state.Domains())
+	drained := c.state.Domains()
+	c.logDomains(drained)
+	c.drained = drained
+	c.fleet.SetDrained(drained)
 	for name, t := range c.state.Teams() {
 		l := admission.Limits{Weight: t.Weight, Share: c.shareOf(t.Quota)}
 		c.tasks.SetLimits(name, l)
@@ -359,7 +375,11 @@
 
 // relisted applies a change of the entries list.
 func (c *core) relisted() {
-	c.names = c.list.Names()
+	names := c.list.Names()
+	if !slices.Equal(names, c.names) {
+		event.EntriesChanged.On(c.logger).Strs("entries", names).Send()
+	}
+	c.names = names
 	c.listed++
 	c.configured()
 	c.rehome()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -207,6 +207,7 @@
 	case gone && !known:
 		return lavendercourse.NoClaim(lavendercourse.ReasonExpired, "no entry knows the owner of the id", 0)
 	case gone:
+		d.declare(id.Incarnation())
 		return ownerGone()
 	default:
 		return lavendercourse.NoClaim(lavendercourse.ReasonAgain, "the owner of the job does not answer; ask again with the same id", retryAgain)
@@ -248,7 +249,7 @@
 		gone := ownerGone()
 		return nil, &gone
 	case v != nil:
-		d.measures.answered(*v)
+		d.refused(spec, *v)
 		return nil, v
 	case j != nil:
 		d.joinJob(ctx, j)
@@ -256,7 +257,7 @@
 	}
 	if v := d.admit(now, spec); v != nil {
 		d.jobs.Reject(now, id, spec, *v)
-		d.measures.answered(*v)
+		d.refused(spec, *v)
 		return nil, v
 	}
 	if spec.Deadline > 0 {
@@ -379,7 +380,7 @@
 		Tasks: []job.Task{{Kind: m.GetKind(), Payload: m.GetPayload()}},
 	}
 	if v := d.admit(now, spec); v != nil {
-		d.measures.answered(*v)
+		d.refused(spec, *v)
 		d.mu.Unlock()
 		return *v, nil
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,8 @@
 	links    *http.Server
 	cancel   context.CancelFunc
 	done     chan struct{}
+	// failing holds the addresses that could not be dialed, so that each is logged once.
+	failing map[string]bool
 }
 
 // New starts an entry. It runs until Stop or Kill is called.
@@ -52,7 +54,10 @@
 	x := newExchange(ctx, c)
 	d := newDispatcher(c, x)
 	x.server = d
-	e := &Entry{core: c, router: &router{core: c, peer: x}, follower: newFollower(c), cancel: cancel, done: make(chan struct{})}
+	e := &Entry{
+		core: c, router: &router{core: c, peer: x}, follower: newFollower(c), cancel: cancel, done: make(chan struct{}),
+		failing: map[string]bool{},
+	}
 	e.callers = &http.Server{Handler: e.callerRoutes(d), ReadHeaderTimeout: 5 * time.Second, Protocols: protocols()}
 	e.links = &http.Server{Handler: e.linkRoutes(), ReadHeaderTimeout: 5 * time.Second}
 	ended := e.tree(x).ServeBackground(ctx)
@@ -77,6 +82,7 @@
 	for e.live() > 0 {
 		select {
 		case <-ctx.Done():
+			event.CutOff.On(e.core.logger).Int("jobs", e.live()).Send()
 			e.Kill()
 			return eris.Wrap(ctx.Err(), "jobs were still running")
 		case <-time.After(drainPoll):
@@ -180,8 +186,13 @@
 	for _, address := range missing {
 		l, err := c.cfg.Dialer.Dial(ctx, address, link.Config{Handler: e.router, Counters: c.cfg.Counters})
 		if err != nil {
+			if !e.failing[address] && ctx.Err() == nil {
+				event.LinkFailed.On(c.logger).Str("address", address).Err(err).Send()
+			}
+			e.failing[address] = true
 			continue
 		}
+		delete(e.failing, address)
 		if l.Send(message.TypeHello, 0, hello) != nil {
 			l.Close()
 		}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -18,6 +18,8 @@
 	*core
 	down      bool
 	announced clock.Millis
+	// unannounced tells whether the last announcement failed, so that a run of failures is logged once.
+	unannounced bool
 	// snapshotted is the time at which the newest snapshot was seen or the entry started.
 	snapshotted clock.Millis
 	snapshotAt  uint64
@@ -82,10 +84,13 @@
 func (f *follower) applyConfig(began clock.Millis, page lavendercourse.Page) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.state.Version()
+	before, bad := f.state.Version(), f.state.Malformed()
 	f.state.Apply(page)
+	if n := f.state.Malformed() - bad; n > 0 {
+		event.ConfigSkipped.On(f.logger).Int("records", n).Uint64("offset", f.state.Offset()).Send()
+	}
 	if f.state.Version() != before {
-		event.ConfigChanged.On(f.logger).Uint64("version", f.state.Version()).Send()
+		f.logChanges(before)
 		f.configured()
 	}
 	if f.state.SnapshotOffset() != f.snapshotAt {
@@ -136,9 +141,13 @@
 	if !due || stopping {
 		return
 	}
-	if f.append(ctx, a) == nil {
+	err := f.append(ctx, a)
+	if err == nil {
 		f.announced = now
+	} else if !f.unannounced && ctx.Err() == nil {
+		event.AppendFailed.On(f.logger).Str("stream", member.Stream).Err(err).Send()
 	}
+	f.unannounced = err != nil
 }
 
 // leave withdraws this entry from the list.
--- a/entry/link.go
+++ b/entry/link.go
@@ -49,10 +49,10 @@
 // Closed takes note that a link has ended.
 func (r *router) Closed(l *link.Link) {
 	who, ok := l.Tag().(remote)
+	l.LogEnd(r.logger, who.name)
 	if !ok {
 		return
 	}
-	event.LinkClosed.On(r.logger).Str("peer", who.name).Send()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if who.kind == message.KindEntry {
@@ -107,6 +107,7 @@
 		return message.ErrBody
 	}
 	l.SetTag(remote{kind: message.KindEntry, name: w.Name})
+	event.LinkOpened.On(r.logger).Str("peer", w.Name).Send()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range w.Peers {
@@ -154,6 +155,7 @@
 	for i, at := range attempts {
 		tasks[i] = message.Task{Job: at.Key.Job().String(), Task: at.Key.Task(), Attempt: at.Attempt}
 	}
+	event.AgentResumed.On(r.logger).Str("agent", name).Int("tasks", len(tasks)).Send()
 	r.send(name, message.TypeResume, message.Resume{Tasks: tasks})
 }
 
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -29,7 +29,7 @@
 	if err := config.CheckSetting(m.GetKey(), m.GetValue()); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	return connect.NewResponse(o.publish(ctx, config.Record{
+	return connect.NewResponse(o.publishLogged(ctx, config.Record{
 		ID: m.GetId(), Key: m.GetKey(), Value: m.GetValue(), Base: m.GetBase(), Force: m.GetForce(),
 	})), nil
 }
@@ -44,7 +44,7 @@
 	if err := config.CheckSetting(key, value); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	return connect.NewResponse(o.publish(ctx, config.Record{ID: req.Msg.GetId(), Key: key, Value: value, Force: true})), nil
+	return connect.NewResponse(o.publishLogged(ctx, config.Record{ID: req.Msg.GetId(), Key: key, Value: value, Force: true})), nil
 }
 
 // GetConfig implements the schema.
@@ -106,6 +106,21 @@
 	return connect.NewResponse(resp), nil
 }
 
+// publishLogged publishes a change and logs what became of it.
+func (o *operator) publishLogged(ctx context.Context, rec config.Record) *dispatchv1.PublishConfigResponse {
+	resp := o.publish(ctx, rec)
+	e := event.ConfigRefused
+	switch {
+	case resp.GetAccepted():
+		e = event.ConfigPublished
+	case resp.GetUnknown():
+		e = event.ConfigOpen
+	}
+	e.On(o.logger).Str("key", rec.Key).Str("value", rec.Value).Uint64("version", resp.GetVersion()).
+		Str("cause", resp.GetMessage()).Send()
+	return resp
+}
+
 // publish appends a change and waits until it is in force on a majority of the entries, or certainly not in force.
 func (o *operator) publish(ctx context.Context, rec config.Record) *dispatchv1.PublishConfigResponse {
 	if rec.ID == "" {
@@ -165,7 +180,6 @@
 		case read && !fate.Won():
 			return &dispatchv1.PublishConfigResponse{Message: "not published: the key has changed since the base version"}
 		case adopted:
-			event.ConfigPublished.On(o.logger).Str("key", rec.Key).Uint64("version", fate.Version).Send()
 			return &dispatchv1.PublishConfigResponse{Accepted: true, Version: fate.Version}
 		}
 		select {
--- a/event/event.go
+++ b/event/event.go
@@ -41,6 +41,7 @@
 	Stopping = define(101, zerolog.InfoLevel, "process is stopping; no new work is taken")
 	Stopped  = define(102, zerolog.InfoLevel, "process stopped")
 	Restart  = define(103, zerolog.ErrorLevel, "part of the process failed and was restarted")
+	CutOff   = define(104, zerolog.WarnLevel, "process stopped while work was running")
 )
 
 // Events of links between processes.
@@ -48,6 +49,7 @@
 	LinkOpened   = define(200, zerolog.InfoLevel, "link opened")
 	LinkClosed   = define(201, zerolog.InfoLevel, "link closed")
 	LinkRejected = define(202, zerolog.WarnLevel, "link closed because of a message that cannot be read")
+	LinkFailed   = define(203, zerolog.WarnLevel, "link cannot be made")
 )
 
 // Events of jobs and agents in an entry.
@@ -55,23 +57,36 @@
 	AgentJoined     = define(300, zerolog.InfoLevel, "agent joined")
 	AgentLost       = define(301, zerolog.WarnLevel, "agent did not come back; the fate of its tasks is unknown")
 	AgentLeaving    = define(302, zerolog.InfoLevel, "agent is leaving")
+	AgentResumed    = define(303, zerolog.InfoLevel, "agent came back and was asked about unfinished tasks")
 	JobFailed       = define(310, zerolog.InfoLevel, "job failed")
+	JobRefused      = define(311, zerolog.DebugLevel, "job or call was refused; nothing of it ran")
+	CallFailed      = define(312, zerolog.DebugLevel, "call failed")
 	LeaseLost       = define(320, zerolog.ErrorLevel, "no majority of the entries answers; all jobs failed and a new incarnation began")
 	Parked          = define(321, zerolog.WarnLevel, "configuration cannot be confirmed; no task is started")
 	Unparked        = define(322, zerolog.InfoLevel, "configuration is confirmed again")
 	OwnerDeclared   = define(323, zerolog.WarnLevel, "owner of a job was declared gone")
+	EntriesChanged  = define(324, zerolog.InfoLevel, "entries list changed")
 	LogUnavailable  = define(330, zerolog.WarnLevel, "platform log cannot be read")
 	LogAvailable    = define(331, zerolog.InfoLevel, "platform log can be read again")
+	AppendFailed    = define(332, zerolog.WarnLevel, "platform log does not take records")
 	ConfigChanged   = define(340, zerolog.InfoLevel, "configuration changed")
 	ConfigPublished = define(341, zerolog.InfoLevel, "configuration change was published")
 	ConfigSnapshot  = define(342, zerolog.InfoLevel, "configuration snapshot was appended")
 	ConfigAdopted   = define(343, zerolog.InfoLevel, "configuration was taken from a peer")
+	ConfigRefused   = define(344, zerolog.InfoLevel, "configuration change was not published")
+	ConfigOpen      = define(345, zerolog.WarnLevel, "it is not known whether a configuration change comes into force")
+	ConfigSkipped   = define(346, zerolog.WarnLevel, "configuration records cannot be read and were skipped")
+	DomainDrained   = define(350, zerolog.InfoLevel, "failure domain was taken out of service")
+	DomainRestored  = define(351, zerolog.InfoLevel, "failure domain is in service again")
+	WorkerEjected   = define(360, zerolog.WarnLevel, "worker was ejected; it gets single trial tasks")
+	WorkerReady     = define(361, zerolog.InfoLevel, "worker was readmitted")
 )
 
 // Events of an agent.
 var (
 	EntryJoined  = define(400, zerolog.InfoLevel, "linked to entry")
-	LeaseStopped = define(410, zerolog.WarnLevel, "task is stopped because its owner does not renew it")
+	LeaseStopped = define(410, zerolog.WarnLevel, "tasks are stopped because their owner does not renew them")
+	StartRefused = define(411, zerolog.DebugLevel, "start was refused")
 	WorkerDown   = define(420, zerolog.ErrorLevel, "backend server does not answer")
 	WorkerUp     = define(421, zerolog.InfoLevel, "backend server answers")
 )
--- a/link/link.go
+++ b/link/link.go
@@ -9,7 +9,9 @@
 
 	"github.com/gorilla/websocket"
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 
+	"github.com/lavendercourse/lavendercourse/event"
 	"github.com/lavendercourse/lavendercourse/message"
 )
 
@@ -19,6 +21,8 @@
 	ErrClosed = eris.New("link is closed")
 	// ErrFull is returned by Send when the other side reads too slowly. The link is closed then.
 	ErrFull = eris.New("send queue of the link is full")
+	// ErrRejected is the cause of the end of a link whose other side sent a message that cannot be read.
+	ErrRejected = eris.New("message was rejected")
 	// ErrDial is returned when a link cannot be made.
 	ErrDial = eris.New("cannot dial link")
 )
@@ -56,6 +60,7 @@
 	done   chan struct{}
 	once   sync.Once
 	closed atomic.Bool
+	cause  atomic.Pointer[error]
 	tag    atomic.Value
 }
 
@@ -79,7 +84,8 @@
 			case <-l.done:
 				return
 			case b := <-l.queue:
-				if l.write(b) != nil {
+				if err := l.write(b); err != nil {
+					l.end(err)
 					return
 				}
 			}
@@ -89,7 +95,8 @@
 		defer cfg.Handler.Closed(l)
 		defer l.Close()
 		for {
-			if l.read() != nil {
+			if err := l.read(); err != nil {
+				l.end(err)
 				return
 			}
 		}
@@ -111,14 +118,36 @@
 		l.cfg.Counters.sent(t, len(b))
 		return nil
 	default:
-		l.Close()
+		l.end(ErrFull)
 		return ErrFull
 	}
 }
 
 // Close ends the link. Frames that still wait are lost.
-func (l *Link) Close() {
+func (l *Link) Close() { l.end(nil) }
+
+// Err returns why the link ended. It is nil while the link is open and if this side closed it.
+func (l *Link) Err() error {
+	if cause := l.cause.Load(); cause != nil {
+		return *cause
+	}
+	return nil
+}
+
+// LogEnd logs the end of the link to the named process, with its cause.
+func (l *Link) LogEnd(logger zerolog.Logger, peer string) {
+	e := event.LinkClosed
+	if eris.Is(l.Err(), ErrRejected) {
+		e = event.LinkRejected
+	}
+	e.On(logger).Str("peer", peer).Stringer("address", l.RemoteAddr()).Err(l.Err()).Send()
+}
+
+func (l *Link) end(cause error) {
 	l.once.Do(func() {
+		if cause != nil {
+			l.cause.Store(&cause)
+		}
 		l.closed.Store(true)
 		close(l.done)
 		_ = l.conn.Close()
@@ -153,16 +182,19 @@
 		return err
 	}
 	if kind != websocket.BinaryMessage {
-		return message.ErrFrame
+		return eris.Wrap(ErrRejected, "not a binary message")
 	}
 	f, err := message.Decode(b)
 	if err != nil {
 		l.cfg.Counters.broken()
-		return err
+		return eris.Wrapf(ErrRejected, "%v", err)
 	}
 	l.cfg.Counters.received(f.Type, len(b))
 	if f.Type == 0 || f.Type >= message.TypeCount {
 		return nil
 	}
-	return l.cfg.Handler.Frame(l, f)
+	if err := l.cfg.Handler.Frame(l, f); err != nil {
+		return eris.Wrapf(ErrRejected, "%s: %v", f.Type, err)
+	}
+	return nil
 }
