--- a/slot/table.go
+++ b/slot/table.go
@@ -152,7 +152,7 @@
 		t.version = s.Version
 	}
 	t.active[key] = n
-	if s.Call || t.running < t.cfg.Slots {
+	if s.Call || t.room() {
 		return []Action{t.begin(now, n)}, nil
 	}
 	n.state = statePending
@@ -330,7 +330,7 @@
 		return "start was decided under an old failure domain state"
 	case t.running+t.calls >= t.cfg.Connections && s.Call:
 		return "no connection is free"
-	case !s.Call && t.running >= t.cfg.Slots && t.pending >= t.cfg.Slots:
+	case !s.Call && !t.room() && t.pending >= t.cfg.Slots:
 		return "no slot is free"
 	}
 	return ""
@@ -412,7 +412,7 @@
 // fill starts pending tasks while slots are free. The validity of a start is checked again, since it may have waited.
 func (t *Table) fill(now clock.Millis) []Action {
 	var actions []Action
-	for t.running < t.cfg.Slots && t.pending > 0 {
+	for t.room() && t.pending > 0 {
 		n := t.nextPending()
 		t.unqueue(n)
 		if why := t.refusal(now, n.start); why != "" {
@@ -424,6 +424,11 @@
 	return actions
 }
 
+// room tells whether a task can start at once. Calls use connections too, so that a free slot alone is not enough.
+func (t *Table) room() bool {
+	return t.running < t.cfg.Slots && t.running+t.calls < t.cfg.Connections
+}
+
 // nextPending returns the pending task of the highest class; among those, of the entry with the fewest running tasks;
 // among those, the oldest.
 func (t *Table) nextPending() *task {
