--- a/agent/link.go
+++ b/agent/link.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"slices"
+
 	"github.com/lavendercourse/lavendercourse/event"
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/message"
@@ -41,7 +43,11 @@
 	}
 	if len(a.links) == 0 {
 		// None of the entries known may be left, so the seeds are tried too.
-		addresses = append(addresses, a.cfg.Entries...)
+		for _, seed := range a.cfg.Entries {
+			if !slices.Contains(addresses, seed) {
+				addresses = append(addresses, seed)
+			}
+		}
 	}
 	return addresses
 }
