Watch the backend server from the agent

The agent polls the backend server every second. After three polls without an answer it refuses what has not started and leaves its entries; it rejoins with a new hello once the backend server answers, and sends none before the first answer. Work without an answer counts as failed. Polls and stops get two of the 64 connections and work the others.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/slot"
 	"github.com/lavendercourse/lavendercourse/telemetry"
+	"github.com/lavendercourse/lavendercourse/worker"
 )
 
 // ErrStart is returned when an agent cannot start.
@@ -74,6 +75,7 @@
 	entries map[string]string
 	running map[lavendercourse.TaskKey]context.CancelFunc
 	leaving bool
+	watch   watch
 	// failing holds the addresses that could not be dialed, so that each is logged once.
 	failing map[string]bool
 }
@@ -95,19 +97,23 @@
 	if cfg.Slots.Connections == 0 {
 		cfg.Slots.Connections = slot.DefaultConnections
 	}
+	// Polls and stops use connections of the backend server too.
+	cfg.Slots.Connections = max(cfg.Slots.Connections-worker.ControlConnections, 1)
 	cfg.Slots.Incarnation = lavendercourse.NewIncarnation()
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}), table: slot.New(cfg.Slots),
 		links: map[string]*link.Link{}, entries: map[string]string{},
-		running:  map[lavendercourse.TaskKey]context.CancelFunc{},
-		failing:  map[string]bool{},
+		running: map[lavendercourse.TaskKey]context.CancelFunc{},
+		failing: map[string]bool{}, watch: newWatch(),
 		measures: newMeasures(telemetry.NewMetrics(cfg.Counters)),
 	}
+	a.table.SetReady(cfg.Clock.Now(), false)
 	a.measures.metrics.Collect(a.collect)
 	s := suture.New(cfg.Name, suture.Spec{EventHook: func(ev suture.Event) {
 		event.Restart.On(cfg.Logger).Str("cause", ev.String()).Send()
 	}})
+	s.Add(service{name: "worker", run: a.watchWorker})
 	s.Add(periodic{name: "dial", period: dialPeriod, do: a.dial})
 	s.Add(periodic{name: "beat", period: beatPeriod, do: a.beat})
 	s.Add(periodic{name: "expire", period: expirePeriod, do: a.expire})
@@ -244,17 +250,22 @@
 	go func() {
 		defer cancel()
 		ctx, span := a.cfg.Tracer.Continue(ctx, r.Trace, trace.SpanKindServer, "agent run")
-		status, result, failure := a.work(ctx, r.Call, w)
+		status, result, failure, answered := a.work(ctx, r.Call, w)
 		telemetry.Fail(span, failure)
 		span.End()
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		delete(a.running, r.Key)
+		if !answered && ctx.Err() == nil {
+			a.suspect()
+		}
 		a.perform(a.table.Ended(a.cfg.Clock.Now(), r.Key, status, result, failure))
 	}()
 }
 
-func (a *Agent) work(ctx context.Context, call bool, w lavendercourse.Work) (message.Status, []byte, string) {
+// work runs one task or call. Answered is false if the backend server did not answer. The work may have run then, so
+// that it counts as failed.
+func (a *Agent) work(ctx context.Context, call bool, w lavendercourse.Work) (status message.Status, result []byte, failure string, answered bool) {
 	do := a.cfg.Backend.Run
 	if call {
 		do = a.cfg.Backend.Call
@@ -262,11 +273,11 @@
 	res, err := do(ctx, w)
 	switch {
 	case err != nil:
-		return message.StatusFailed, nil, err.Error()
+		return message.StatusFailed, nil, err.Error(), false
 	case res.Failure != "":
-		return message.StatusFailed, nil, res.Failure
+		return message.StatusFailed, nil, res.Failure, true
 	default:
-		return message.StatusDone, res.Data, ""
+		return message.StatusDone, res.Data, "", true
 	}
 }
 
@@ -292,7 +303,19 @@
 	return slot.DefaultLease
 }
 
-// periodic is a part of the agent in the supervisor tree.
+// service is a part of the agent in the supervisor tree.
+type service struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+// String names the service in events.
+func (s service) String() string { return s.name }
+
+// periodic is a service that does the same again and again.
 type periodic struct {
 	name   string
 	period clock.Millis
--- a/agent/link.go
+++ b/agent/link.go
@@ -31,7 +31,7 @@
 func (a *Agent) missing() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.leaving {
+	if a.leaving || !a.watch.seen {
 		return nil
 	}
 	wanted := a.wanted()
@@ -135,7 +135,8 @@
 	l.SetTag(w.Name)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if old := a.links[w.Name]; old != nil {
+	old := a.links[w.Name]
+	if old != nil && old != l {
 		old.Close()
 	}
 	a.links[w.Name] = l
@@ -143,7 +144,10 @@
 	if a.entries[w.Name] == "" {
 		a.entries[w.Name] = l.RemoteAddr().String()
 	}
-	event.EntryJoined.On(a.cfg.Logger).Str("entry", w.Name).Send()
+	if old != l {
+		event.EntryJoined.On(a.cfg.Logger).Str("entry", w.Name).Send()
+		a.greet(l)
+	}
 	a.beatOn(w.Name, l)
 	return nil
 }
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -49,9 +49,20 @@
 	w.Gauge("remembered", a.table.Remembered())
 	w.Gauge("links", len(a.links))
 	w.Flag("leaving", a.leaving)
+	w.Flag("ready", a.watch.up)
 }
 
-// web serves the metrics of an agent.
+// health tells whether the agent takes work.
+func (a *Agent) health(w http.ResponseWriter, _ *http.Request) {
+	a.mu.Lock()
+	ready := a.watch.up && !a.leaving
+	a.mu.Unlock()
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// web serves the metrics and the health of an agent.
 type web struct {
 	server *http.Server
 	l      net.Listener
@@ -60,6 +71,7 @@
 func newWeb(a *Agent, l net.Listener) web {
 	r := mux.NewRouter()
 	r.Handle(telemetry.MetricsPath, a.measures.metrics)
+	r.HandleFunc("/health", a.health)
 	return web{l: l, server: &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}}
 }
 
--- a/lavendercourse.go
+++ b/lavendercourse.go
@@ -56,6 +56,8 @@
 	Run(ctx context.Context, w Work) (Result, error)
 	Call(ctx context.Context, w Work) (Result, error)
 	Stop(ctx context.Context, key TaskKey) error
+	// Ping returns an error if the backend server does not answer.
+	Ping(ctx context.Context) error
 }
 
 // Result is what a backend server returned for a task or call.
--- a/slot/table.go
+++ b/slot/table.go
@@ -64,6 +64,9 @@
 	return c
 }
 
+// downText is the cause of refusals while the backend server does not answer.
+const downText = "backend server does not answer"
+
 type state uint8
 
 const (
@@ -114,6 +117,7 @@
 	calls   int
 	order   uint64
 	leaving bool
+	down    bool
 }
 
 // New returns an empty table.
@@ -266,11 +270,25 @@
 // Leave refuses everything that has not started, from now on.
 func (t *Table) Leave(now clock.Millis) []Action {
 	t.leaving = true
+	return t.refusePending(now, "agent is leaving")
+}
+
+// SetReady tells whether the backend server answers. While it does not, everything that has not started is refused.
+// Running tasks are not touched: what becomes of them is told by Ended.
+func (t *Table) SetReady(now clock.Millis, ready bool) []Action {
+	t.down = !ready
+	if ready {
+		return nil
+	}
+	return t.refusePending(now, downText)
+}
+
+func (t *Table) refusePending(now clock.Millis, why string) []Action {
 	var actions []Action
 	for _, n := range t.active {
 		if n.state == statePending {
 			t.unqueue(n)
-			actions = append(actions, t.refuse(now, n, "agent is leaving"))
+			actions = append(actions, t.refuse(now, n, why))
 		}
 	}
 	return actions
@@ -302,7 +320,7 @@
 // window shares the slots among the entries by their backlog. Each may have one task more than its share waiting here,
 // which starts as soon as a slot frees.
 func (t *Table) window(entry string) int {
-	if t.leaving {
+	if t.leaving || t.down {
 		return 0
 	}
 	me, hungry, used := t.use(entry), 0, 0
@@ -324,6 +342,8 @@
 	switch {
 	case t.leaving:
 		return "agent is leaving"
+	case t.down:
+		return downText
 	case s.Stamp > now || now-s.Stamp > t.cfg.Validity:
 		return "start has expired"
 	case s.Version < t.version:
--- a/telemetry/metrics_test.go
+++ b/telemetry/metrics_test.go
@@ -43,7 +43,7 @@
 		}},
 		{name: "agent", text: agent, want: []string{
 			"started_total 4", `replies_total{status="done"} 3`, `replies_total{status="failed"} 1`, "slots 8", "running 0",
-			"pending 0", "remembered 4", "links 2",
+			"pending 0", "remembered 4", "links 2", "ready 1", "connections 62",
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -55,6 +55,7 @@
 			}
 		})
 	}
+	assert.Equal(t, status(t, "http://"+s.agent+"/health"), 200)
 	for _, name := range []string{"parked", "leased", "lease_age_seconds", "config_age_seconds", `log_total{request="read"}`, `log_total{request="append"}`} {
 		assert.Check(t, cmp.Contains(busy, "\nlavendercourse_"+name+" "))
 	}
--- a/worker/client.go
+++ b/worker/client.go
@@ -11,17 +11,21 @@
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	workerv1 "github.com/lavendercourse/lavendercourse/schema/worker/v1"
 	"github.com/lavendercourse/lavendercourse/schema/worker/v1/workerv1connect"
+	"github.com/lavendercourse/lavendercourse/slot"
 	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // ErrUnanswered is returned when the backend server did not answer. The work may have run.
 var ErrUnanswered = eris.New("backend server did not answer")
 
+// ControlConnections is the number of the backend server's connections that polls and stops use. Work gets the others.
+const ControlConnections = 2
+
 // Config holds the settings of a client.
 type Config struct {
 	// Address is the host and port of the backend server.
 	Address string
-	// Connections bounds the connections that are kept open.
+	// Connections bounds the connections to the backend server. 0 selects slot.DefaultConnections.
 	Connections int
 	// Tracer may be set to trace the requests of traced tasks.
 	Tracer *telemetry.Tracer
@@ -29,19 +33,26 @@
 
 // Client implements lavendercourse.Backend.
 type Client struct {
-	rpc workerv1connect.WorkerServiceClient
+	work    workerv1connect.WorkerServiceClient
+	control workerv1connect.WorkerServiceClient
 }
 
 // New returns a client. It connects when it is used.
 func New(cfg Config) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: cfg.Connections, MaxConnsPerHost: 2 * cfg.Connections}
+	if cfg.Connections == 0 {
+		cfg.Connections = slot.DefaultConnections
+	}
 	traced := connect.WithInterceptors(cfg.Tracer.Interceptor())
-	return &Client{rpc: workerv1connect.NewWorkerServiceClient(&http.Client{Transport: transport}, "http://"+cfg.Address, traced)}
+	client := func(n int) workerv1connect.WorkerServiceClient {
+		hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n, MaxConnsPerHost: n}}
+		return workerv1connect.NewWorkerServiceClient(hc, "http://"+cfg.Address, traced)
+	}
+	return &Client{work: client(max(cfg.Connections-ControlConnections, 1)), control: client(ControlConnections)}
 }
 
 // Run starts a task and waits for its end.
 func (c *Client) Run(ctx context.Context, w lavendercourse.Work) (lavendercourse.Result, error) {
-	resp, err := c.rpc.Run(ctx, connect.NewRequest(&workerv1.RunRequest{
+	resp, err := c.work.Run(ctx, connect.NewRequest(&workerv1.RunRequest{
 		Job: w.Key.Job().String(), Task: w.Key.Task(), Kind: w.Kind, Payload: w.Payload, LeaseMs: uint32(w.Lease),
 	}))
 	if err != nil {
@@ -52,7 +63,7 @@
 
 // Call sends a call and waits for its answer.
 func (c *Client) Call(ctx context.Context, w lavendercourse.Work) (lavendercourse.Result, error) {
-	resp, err := c.rpc.Call(ctx, connect.NewRequest(&workerv1.CallRequest{
+	resp, err := c.work.Call(ctx, connect.NewRequest(&workerv1.CallRequest{
 		Id: w.Key.String(), Kind: w.Kind, Payload: w.Payload,
 	}))
 	if err != nil {
@@ -63,7 +74,7 @@
 
 // Stop asks to end a running task.
 func (c *Client) Stop(ctx context.Context, key lavendercourse.TaskKey) error {
-	_, err := c.rpc.Stop(ctx, connect.NewRequest(&workerv1.StopRequest{Job: key.Job().String(), Task: key.Task()}))
+	_, err := c.control.Stop(ctx, connect.NewRequest(&workerv1.StopRequest{Job: key.Job().String(), Task: key.Task()}))
 	if err != nil {
 		return eris.Wrapf(ErrUnanswered, "stop %s: %v", key, err)
 	}
@@ -72,7 +83,7 @@
 
 // Ping tells whether the backend server answers.
 func (c *Client) Ping(ctx context.Context) error {
-	if _, err := c.rpc.Usage(ctx, connect.NewRequest(&workerv1.UsageRequest{})); err != nil {
+	if _, err := c.control.Usage(ctx, connect.NewRequest(&workerv1.UsageRequest{})); err != nil {
 		return eris.Wrapf(ErrUnanswered, "ping: %v", err)
 	}
 	return nil
