--- a/agent/worker.go
+++ b/agent/worker.go
@@ -39,18 +39,22 @@
 func (a *Agent) watchWorker(ctx context.Context) error {
 	t := time.NewTicker(pollPeriod.Duration())
 	defer t.Stop()
-	for {
-		a.poll()
+	for due := true; ; {
+		a.poll(due)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
+			due = true
 		case <-a.watch.soon:
+			due = false
 		}
 	}
 }
 
-func (a *Agent) poll() {
+// poll asks the backend server for a sign of life. A poll that was not due does not count when it gets no answer, since
+// several may follow each other at once.
+func (a *Agent) poll(due bool) {
 	ctx, cancel := context.WithTimeout(a.ctx, pollPeriod.Duration())
 	defer cancel()
 	err := a.cfg.Backend.Ping(ctx)
@@ -60,7 +64,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil {
-		a.missed(err)
+		if due {
+			a.missed(err)
+		}
 		return
 	}
 	a.answered()
