--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/slot"
 	"github.com/lavendercourse/lavendercourse/telemetry"
+	"github.com/lavendercourse/lavendercourse/worker"
 )
 
 // ErrStart is returned when an agent cannot start.
@@ -72,7 +73,7 @@
 	cfg    Config
 	ctx    context.Context
 	cancel context.CancelFunc
-	done   <-chan error
+	done   chan struct{}
 
 	measures *measures
 
@@ -83,6 +84,9 @@
 	entries map[string]string
 	running map[lavendercourse.TaskKey]context.CancelFunc
 	leaving bool
+	watch   watch
+	// failing holds the addresses that could not be dialed, so that each is logged once.
+	failing map[string]bool
 }
 
 // New starts an agent. It runs until Stop or Kill is called.
@@ -102,25 +106,34 @@
 	if cfg.Slots.Connections == 0 {
 		cfg.Slots.Connections = slot.DefaultConnections
 	}
+	// Polls and stops use connections of the backend server too.
+	cfg.Slots.Connections = max(cfg.Slots.Connections-worker.ControlConnections, 1)
 	cfg.Slots.Incarnation = lavendercourse.NewIncarnation()
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
-		cfg: cfg, ctx: ctx, cancel: cancel, table: slot.New(cfg.Slots),
+		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}), table: slot.New(cfg.Slots),
 		links: map[string]*entryLink{}, entries: map[string]string{},
-		running:  map[lavendercourse.TaskKey]context.CancelFunc{},
+		running: map[lavendercourse.TaskKey]context.CancelFunc{},
+		failing: map[string]bool{}, watch: newWatch(),
 		measures: newMeasures(telemetry.NewMetrics(cfg.Counters)),
 	}
+	a.table.SetReady(cfg.Clock.Now(), false)
 	a.measures.metrics.Collect(a.collect)
 	s := suture.New(cfg.Name, suture.Spec{EventHook: func(ev suture.Event) {
 		event.Restart.On(cfg.Logger).Str("cause", ev.String()).Send()
 	}})
+	s.Add(service{name: "worker", run: a.watchWorker})
 	s.Add(periodic{name: "dial", period: dialPeriod, do: a.dial})
 	s.Add(periodic{name: "beat", period: beatCheck, do: a.beat})
 	s.Add(periodic{name: "expire", period: expirePeriod, do: a.expire})
 	if cfg.Metrics != nil {
 		s.Add(newWeb(a, cfg.Metrics))
 	}
-	a.done = s.ServeBackground(ctx)
+	ended := s.ServeBackground(ctx)
+	go func() {
+		<-ended
+		close(a.done)
+	}()
 	event.Started.On(cfg.Logger).Str("agent", cfg.Name).Send()
 	return a, nil
 }
@@ -142,6 +155,7 @@
 	for a.busy() > 0 {
 		select {
 		case <-ctx.Done():
+			event.CutOff.On(a.cfg.Logger).Int("tasks", a.busy()).Send()
 			a.Kill()
 			return eris.Wrap(ctx.Err(), "work was still running")
 		case <-time.After(drainPoll):
@@ -166,7 +180,7 @@
 	}
 }
 
-// Kill ends the agent at once.
+// Kill ends the agent at once. It may be called again.
 func (a *Agent) Kill() {
 	a.cancel()
 	a.mu.Lock()
@@ -218,7 +232,17 @@
 func (a *Agent) expire() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.perform(a.table.Expire(a.cfg.Clock.Now()))
+	actions := a.table.Expire(a.cfg.Clock.Now())
+	stopped := 0
+	for _, action := range actions {
+		if _, ok := action.(slot.Halt); ok {
+			stopped++
+		}
+	}
+	if stopped > 0 {
+		event.LeaseStopped.On(a.cfg.Logger).Int("tasks", stopped).Send()
+	}
+	a.perform(actions)
 }
 
 // perform carries out what the table decided.
@@ -235,7 +259,7 @@
 				a.sendLoad(a.cfg.Clock.Now(), message.TypeOffer, v.Entry, s)
 			}
 		case slot.Reply:
-			a.measures.replied(v.Done.Status)
+			a.replied(v)
 			a.reply(v)
 		}
 	}
@@ -253,6 +277,16 @@
 	_ = s.link.Send(message.TypeDone, 0, r.Done)
 }
 
+// replied counts and logs a reply.
+func (a *Agent) replied(r slot.Reply) {
+	a.measures.replied(r.Done.Status)
+	if r.Done.Status != message.StatusRefused && r.Done.Status != message.StatusUnknown {
+		return
+	}
+	event.StartRefused.On(a.cfg.Logger).Str("entry", r.Entry).Str("job", r.Done.Job).Uint32("task", r.Done.Task).
+		Stringer("status", r.Done.Status).Str("cause", r.Done.Error).Send()
+}
+
 // run starts work on the backend server.
 func (a *Agent) run(r slot.Run) {
 	ctx, cancel := context.WithCancel(a.ctx)
@@ -261,17 +295,22 @@
 	go func() {
 		defer cancel()
 		ctx, span := a.cfg.Tracer.Continue(ctx, r.Trace, trace.SpanKindServer, "agent run")
-		status, result, failure := a.work(ctx, r.Call, w)
+		status, result, failure, answered := a.work(ctx, r.Call, w)
 		telemetry.Fail(span, failure)
 		span.End()
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		delete(a.running, r.Key)
+		if !answered && ctx.Err() == nil {
+			a.suspect()
+		}
 		a.perform(a.table.Ended(a.cfg.Clock.Now(), r.Key, status, result, failure))
 	}()
 }
 
-func (a *Agent) work(ctx context.Context, call bool, w lavendercourse.Work) (message.Status, []byte, string) {
+// work runs one task or call. Answered is false if the backend server did not answer. The work may have run then, so
+// that it counts as failed.
+func (a *Agent) work(ctx context.Context, call bool, w lavendercourse.Work) (status message.Status, result []byte, failure string, answered bool) {
 	do := a.cfg.Backend.Run
 	if call {
 		do = a.cfg.Backend.Call
@@ -279,11 +318,11 @@
 	res, err := do(ctx, w)
 	switch {
 	case err != nil:
-		return message.StatusFailed, nil, err.Error()
+		return message.StatusFailed, nil, err.Error(), false
 	case res.Failure != "":
-		return message.StatusFailed, nil, res.Failure
+		return message.StatusFailed, nil, res.Failure, true
 	default:
-		return message.StatusDone, res.Data, ""
+		return message.StatusDone, res.Data, "", true
 	}
 }
 
@@ -309,7 +348,19 @@
 	return slot.DefaultLease
 }
 
-// periodic is a part of the agent in the supervisor tree.
+// service is a part of the agent in the supervisor tree.
+type service struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+// String names the service in events.
+func (s service) String() string { return s.name }
+
+// periodic is a service that does the same again and again.
 type periodic struct {
 	name   string
 	period clock.Millis
--- a/agent/link.go
+++ b/agent/link.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"slices"
+
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/event"
@@ -43,8 +45,13 @@
 	for _, address := range a.missing() {
 		l, err := a.cfg.Dialer.Dial(a.ctx, address, link.Config{Handler: a, Counters: a.cfg.Counters})
 		if err != nil {
+			if !a.failing[address] && a.ctx.Err() == nil {
+				event.LinkFailed.On(a.cfg.Logger).Str("address", address).Err(err).Send()
+			}
+			a.failing[address] = true
 			continue
 		}
+		delete(a.failing, address)
 		if l.Send(message.TypeHello, 0, a.hello()) != nil {
 			l.Close()
 		}
@@ -55,7 +62,7 @@
 func (a *Agent) missing() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.leaving {
+	if a.leaving || !a.watch.seen {
 		return nil
 	}
 	wanted := a.wanted()
@@ -67,7 +74,11 @@
 	}
 	if len(a.links) == 0 {
 		// None of the entries known may be left, so the seeds are tried too.
-		addresses = append(addresses, a.cfg.Entries...)
+		for _, seed := range a.cfg.Entries {
+			if !slices.Contains(addresses, seed) {
+				addresses = append(addresses, seed)
+			}
+		}
 	}
 	return addresses
 }
@@ -148,6 +159,7 @@
 // Closed takes note that a link has ended.
 func (a *Agent) Closed(l *link.Link) {
 	entry, ok := l.Tag().(string)
+	l.LogEnd(a.cfg.Logger, entry)
 	if !ok {
 		return
 	}
@@ -156,7 +168,6 @@
 	if s := a.links[entry]; s != nil && s.link == l {
 		delete(a.links, entry)
 		a.table.Unlinked(entry)
-		event.LinkClosed.On(a.cfg.Logger).Str("peer", entry).Send()
 	}
 }
 
@@ -171,7 +182,12 @@
 	l.SetTag(w.Name)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if old := a.links[w.Name]; old != nil {
+	old := a.links[w.Name]
+	if old != nil && old.link == l {
+		// A repeated welcome tells nothing new.
+		return nil
+	}
+	if old != nil {
 		old.link.Close()
 	}
 	now := a.cfg.Clock.Now()
@@ -182,6 +198,7 @@
 		a.entries[w.Name] = l.RemoteAddr().String()
 	}
 	event.EntryJoined.On(a.cfg.Logger).Str("entry", w.Name).Send()
+	a.greet(l)
 	a.beatOn(now, w.Name, s)
 	return nil
 }
--- a/entry/core.go
+++ b/entry/core.go
@@ -60,6 +60,8 @@
 	// heard is the time of the last stamp, and nudged that of the last request for one.
 	heard  clock.Millis
 	nudged clock.Millis
+	// ejected tells whether the worker was ejected when its health was last logged.
+	ejected bool
 }
 
 // stamp takes note of a stamp of the agent. Stamps that follow each other closely are not all kept, so that those kept
@@ -121,14 +123,18 @@
 	past    map[lavendercourse.Incarnation]clock.Millis
 	// spans holds the spans of the jobs that are traced.
 	spans map[lavendercourse.JobID]trace.Span
+	// declared holds the owners that were declared gone, so that each is logged once.
+	declared map[lavendercourse.Incarnation]clock.Millis
+	// drained holds the failure domains that are out of service.
+	drained map[string]bool
 
 	// names is the entries list, and leaseStart and confirmed what follows from it; see refresh.
 	names      []string
 	listed     int
 	leaseStart clock.Millis
 	confirmed  clock.Millis
-	// refused is the time of the last refusal of a start.
-	refused clock.Millis
+	// turned is the time at which an agent last refused a start.
+	turned clock.Millis
 	// born is the time at which the incarnation began.
 	born     clock.Millis
 	gate     uint64
@@ -146,23 +152,25 @@
 	cfg.Jobs.Incarnation = lavendercourse.NewIncarnation()
 	c := &core{
 		cfg: cfg, clock: cfg.Clock, logger: cfg.Logger, measures: newMeasures(m),
-		jobs:    job.New(cfg.Jobs),
-		tasks:   admission.New(cfg.Queue),
-		calls:   admission.New(cfg.Queue),
-		fleet:   placement.New(placement.Config{Policy: cfg.Policy, Entry: cfg.Name, Region: cfg.Region, Domain: cfg.Domain, Seed: cfg.Seed}),
-		list:    member.NewList(),
-		quorum:  member.NewQuorum(now, cfg.Quorum),
-		state:   config.New(),
-		agents:  map[string]*agentLink{},
-		peers:   map[string]*link.Link{},
-		items:   map[lavendercourse.JobID]*admission.Item{},
-		flights: map[placement.Attempt]flight{},
-		runs:    admission.NewRunTimes(),
-		shares:  admission.NewShares(),
-		waiters: map[lavendercourse.JobID]chan struct{}{},
-		past:    map[lavendercourse.Incarnation]clock.Millis{},
-		spans:   map[lavendercourse.JobID]trace.Span{},
-		parked:  true, announce: true, born: now, leaseStart: -1, confirmed: -1,
+		jobs:     job.New(cfg.Jobs),
+		tasks:    admission.New(cfg.Queue),
+		calls:    admission.New(cfg.Queue),
+		fleet:    placement.New(placement.Config{Policy: cfg.Policy, Entry: cfg.Name, Region: cfg.Region, Domain: cfg.Domain, Seed: cfg.Seed}),
+		list:     member.NewList(),
+		quorum:   member.NewQuorum(now, cfg.Quorum),
+		state:    config.New(),
+		agents:   map[string]*agentLink{},
+		peers:    map[string]*link.Link{},
+		items:    map[lavendercourse.JobID]*admission.Item{},
+		flights:  map[placement.Attempt]flight{},
+		runs:     admission.NewRunTimes(),
+		shares:   admission.NewShares(),
+		waiters:  map[lavendercourse.JobID]chan struct{}{},
+		past:     map[lavendercourse.Incarnation]clock.Millis{},
+		spans:    map[lavendercourse.JobID]trace.Span{},
+		declared: map[lavendercourse.Incarnation]clock.Millis{},
+		drained:  map[string]bool{},
+		parked:   true, announce: true, born: now, leaseStart: -1, confirmed: -1,
 	}
 	m.Collect(c.collect)
 	return c
@@ -242,9 +250,7 @@
 		c.measures.took(j.Verdict().Outcome, now-j.Arrived())
 		c.tasks.Remove(j.ID())
 		c.calls.Remove(j.ID())
-		if v := j.Verdict(); v.Outcome == lavendercourse.Failed {
-			event.JobFailed.On(c.logger).Str("job", j.ID().String()).Str("message", v.Message).Send()
-		}
+		c.logEnd(j)
 		if ch := c.waiters[j.ID()]; ch != nil {
 			close(ch)
 			delete(c.waiters, j.ID())
@@ -346,7 +352,7 @@
 // is sent elsewhere. After one refusal the next attempt waits, since the other agents are probably full too and each
 // refusal costs two messages.
 func (c *core) waits(now clock.Millis, choice placement.Choice, attempt uint32) bool {
-	return !choice.Free || attempt > 1 || now-c.refused < refusalMemory
+	return !choice.Free || attempt > 1 || now-c.turned < refusalMemory
 }
 
 // done handles the end of a start.
@@ -382,7 +388,7 @@
 	if d.Status == message.StatusRefused && c.jobs.Returned(at.Key, f.agent, at.Attempt) {
 		q.Returned(f.item)
 		c.fleet.Pause(now, f.agent)
-		c.refused = now
+		c.turned = now
 		return
 	}
 	q.Freed(f.team)
@@ -434,6 +440,12 @@
 	c.tasks.Forget()
 	c.calls.Forget()
 	c.quorum.Forget(now, 2*job.DefaultLifetime)
+	c.logHealth()
+	for inc, at := range c.declared {
+		if now-at > 2*job.DefaultLifetime {
+			delete(c.declared, inc)
+		}
+	}
 	for inc, at := range c.past {
 		if now-at > 2*job.DefaultLifetime {
 			delete(c.past, inc)
@@ -445,7 +457,10 @@
 // configured applies a change of the configuration.
 func (c *core) configured() {
 	c.gate = c.state.Gate()
-	c.fleet.SetDrained(c.state.Domains())
+	drained := c.state.Domains()
+	c.logDomains(drained)
+	c.drained = drained
+	c.fleet.SetDrained(drained)
 	c.limit()
 }
 
@@ -482,7 +497,11 @@
 		return
 	}
 	c.listed = c.list.Revision()
-	c.names = c.list.Names()
+	names := c.list.Names()
+	if !slices.Equal(names, c.names) {
+		event.EntriesChanged.On(c.logger).Strs("entries", names).Send()
+	}
+	c.names = names
 	c.configured()
 	c.rehome()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,7 +34,9 @@
 	callers  *http.Server
 	links    *http.Server
 	cancel   context.CancelFunc
-	done     <-chan error
+	done     chan struct{}
+	// failing holds the addresses that could not be dialed, so that each is logged once.
+	failing map[string]bool
 }
 
 // New starts an entry. It runs until Stop or Kill is called.
@@ -56,14 +58,21 @@
 	x := newExchange(ctx, c)
 	d := newDispatcher(c, x)
 	x.server = d
-	e := &Entry{core: c, router: &router{core: c, peer: x}, follower: newFollower(c), cancel: cancel}
+	e := &Entry{
+		core: c, router: &router{core: c, peer: x}, follower: newFollower(c), cancel: cancel, done: make(chan struct{}),
+		failing: map[string]bool{},
+	}
 	e.callers = &http.Server{
 		Handler: e.callerRoutes(d), ReadHeaderTimeout: 5 * time.Second, Protocols: protocols(),
 		// Each waiting job of a caller is a stream.
 		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}
 	e.links = &http.Server{Handler: e.linkRoutes(), ReadHeaderTimeout: 5 * time.Second}
-	e.done = e.tree(x).ServeBackground(ctx)
+	ended := e.tree(x).ServeBackground(ctx)
+	go func() {
+		<-ended
+		close(e.done)
+	}()
 	event.Started.On(c.logger).Str("entry", cfg.Name).Str("callers", cfg.Callers.Addr().String()).
 		Str("links", cfg.Links.Addr().String()).Send()
 	return e, nil
@@ -81,6 +90,7 @@
 	for e.live() > 0 {
 		select {
 		case <-ctx.Done():
+			event.CutOff.On(e.core.logger).Int("jobs", e.live()).Send()
 			e.Kill()
 			return eris.Wrap(ctx.Err(), "jobs were still running")
 		case <-time.After(drainPoll):
@@ -113,7 +123,7 @@
 	}
 }
 
-// Kill ends the entry at once.
+// Kill ends the entry at once. It may be called again.
 func (e *Entry) Kill() {
 	e.cancel()
 	_ = e.callers.Close()
@@ -204,8 +214,13 @@
 	for _, address := range missing {
 		l, err := c.cfg.Dialer.Dial(ctx, address, link.Config{Handler: e.router, Counters: c.cfg.Counters})
 		if err != nil {
+			if !e.failing[address] && ctx.Err() == nil {
+				event.LinkFailed.On(c.logger).Str("address", address).Err(err).Send()
+			}
+			e.failing[address] = true
 			continue
 		}
+		delete(e.failing, address)
 		if l.Send(message.TypeHello, 0, hello) != nil {
 			l.Close()
 		}
--- a/slot/table.go
+++ b/slot/table.go
@@ -66,6 +66,9 @@
 	return c
 }
 
+// downText is the cause of refusals while the backend server does not answer.
+const downText = "backend server does not answer"
+
 type state uint8
 
 const (
@@ -118,6 +121,7 @@
 	calls   int
 	order   uint64
 	leaving bool
+	down    bool
 }
 
 // New returns an empty table.
@@ -303,10 +307,24 @@
 // Leave refuses everything that has not started, from now on.
 func (t *Table) Leave(now clock.Millis) []Action {
 	t.leaving = true
+	return t.refusePending(now, "agent is leaving")
+}
+
+// SetReady tells whether the backend server answers. While it does not, everything that has not started is refused.
+// Running tasks are not touched: what becomes of them is told by Ended.
+func (t *Table) SetReady(now clock.Millis, ready bool) []Action {
+	t.down = !ready
+	if ready {
+		return nil
+	}
+	return t.refusePending(now, downText)
+}
+
+func (t *Table) refusePending(now clock.Millis, why string) []Action {
 	var actions []Action
 	for _, n := range t.activeIf(func(n *task) bool { return n.state == statePending }) {
 		t.unqueue(n)
-		actions = append(actions, t.refuse(now, n, "agent is leaving"))
+		actions = append(actions, t.refuse(now, n, why))
 	}
 	return actions
 }
@@ -359,7 +377,7 @@
 // there are slots: a task that waits here cannot take a slot that frees elsewhere, which costs far more time than the
 // round trip for which a slot is idle without a task that waits.
 func (t *Table) window(entry string) int {
-	if t.leaving {
+	if t.leaving || t.down {
 		return 0
 	}
 	share := t.share(entry)
@@ -395,6 +413,8 @@
 	switch {
 	case t.leaving:
 		return "agent is leaving"
+	case t.down:
+		return downText
 	case s.Stamp > now || now-s.Stamp > t.cfg.Validity:
 		return "start has expired"
 	case s.Version < t.version:
