--- a/config/record.go
+++ b/config/record.go
@@ -33,6 +33,8 @@
 	Settings []Setting `cbor:"settings"`
 	// Recent holds the newest publish ids, so that a repeated publish is recognised after a snapshot.
 	Recent []Publication `cbor:"recent"`
+	// History holds the newest changes, so that a process that takes over a snapshot shows the same ones as the others.
+	History []Setting `cbor:"history,omitempty"`
 }
 
 // Setting is a key with its value and the version in which it was last changed.
--- a/config/state.go
+++ b/config/state.go
@@ -115,7 +115,7 @@
 
 // Snapshot returns the whole state.
 func (s *State) Snapshot() Snapshot {
-	snap := Snapshot{Version: s.version, Offset: s.offset, Settings: s.Settings()}
+	snap := Snapshot{Version: s.version, Offset: s.offset, Settings: s.Settings(), History: s.History(0)}
 	for _, id := range s.recent {
 		snap.Recent = append(snap.Recent, s.fates[id])
 	}
@@ -176,6 +176,7 @@
 	for _, p := range snap.Recent {
 		s.remember(p)
 	}
+	s.history = append([]Setting(nil), snap.History...)
 }
 
 func (s *State) change(rec Record) {
