Add a test that drives the whole system through the commands

The daemons and stand-ins run as separate processes. Submit tells the id of a job before it sends the job, and an entry that issues no id counts as a refusal.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	ErrInvalid = eris.New("request is invalid")
 	// ErrUnreachable is returned when no entry answered. For a job, ask again with the same id.
 	ErrUnreachable = eris.New("no entry answered")
+	// ErrRefused is returned when an entry issued no job id. Nothing was run.
+	ErrRefused = eris.New("entry issued no job id")
 )
 
 // DefaultBlock is the number of ids reserved at once.
@@ -37,6 +40,8 @@
 	Pause clock.Millis
 	// HTTP may be set to use other connections than the default ones.
 	HTTP *http.Client
+	// Issued is called by Submit with the id that it reserved for a request, before the request is sent.
+	Issued func(id string)
 }
 
 // Client submits jobs and calls. It is safe for use by several goroutines.
@@ -82,17 +87,16 @@
 func (c *Client) Submit(ctx context.Context, req *dispatchv1.SubmitRequest) (*dispatchv1.SubmitResponse, error) {
 	reserved := req.GetId() == ""
 	if reserved {
-		id, err := c.Reserve(ctx)
-		if err != nil {
+		if err := c.identify(ctx, req); err != nil {
 			return nil, err
 		}
-		req.Id = id
 	}
 	for first := true; ; first = false {
 		resp, err := c.dispatch.Submit(ctx, connect.NewRequest(req))
 		if first && reserved && err == nil && isUnused(resp.Msg.GetVerdict()) {
 			// The owner of the reserved ids cannot be reached and has not seen this one.
-			if req.Id, err = c.replace(ctx); err != nil {
+			c.dropIDs()
+			if err := c.identify(ctx, req); err != nil {
 				return nil, err
 			}
 			continue
@@ -101,7 +105,7 @@
 			return resp.Msg, nil
 		}
 		if err != nil && connect.CodeOf(err) == connect.CodeInvalidArgument {
-			return nil, eris.Wrapf(ErrInvalid, "%v", err)
+			return nil, translate(err)
 		}
 		select {
 		case <-ctx.Done():
@@ -111,12 +115,23 @@
 	}
 }
 
-// replace drops the reserved ids and returns one of a new block.
-func (c *Client) replace(ctx context.Context) (string, error) {
+// identify gives a request a reserved id.
+func (c *Client) identify(ctx context.Context, req *dispatchv1.SubmitRequest) error {
+	id, err := c.Reserve(ctx)
+	if err != nil {
+		return err
+	}
+	req.Id = id
+	if c.cfg.Issued != nil {
+		c.cfg.Issued(id)
+	}
+	return nil
+}
+
+func (c *Client) dropIDs() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.ids = nil
-	c.mu.Unlock()
-	return c.Reserve(ctx)
 }
 
 // Status tells how far a job is.
@@ -149,6 +164,9 @@
 func (c *Client) fetch(ctx context.Context) error {
 	asked := time.Now()
 	resp, err := c.dispatch.Reserve(ctx, connect.NewRequest(&dispatchv1.ReserveRequest{Count: uint32(c.cfg.Block)}))
+	if err != nil && connect.IsWireError(err) {
+		return eris.Wrap(ErrRefused, messageOf(err))
+	}
 	if err != nil {
 		return translate(err)
 	}
@@ -173,7 +191,16 @@
 
 func translate(err error) error {
 	if connect.CodeOf(err) == connect.CodeInvalidArgument {
-		return eris.Wrapf(ErrInvalid, "%v", err)
+		return eris.Wrap(ErrInvalid, messageOf(err))
 	}
 	return eris.Wrapf(ErrUnreachable, "%v", err)
 }
+
+// messageOf returns what the entry said, without the code of the protocol.
+func messageOf(err error) string {
+	var e *connect.Error
+	if errors.As(err, &e) {
+		return e.Message()
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/cmd/lavendercourse/whole_test.go
@@ -0,0 +1,420 @@
+package main_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+const workers = 11
+
+var domains = []string{"accra-1", "accra-2", "kumasi-1", "kumasi-2"}
+
+// system is the whole system as separate processes, and the transcript of the commands that were run against it.
+type system struct {
+	dir        string
+	program    string
+	platform   string
+	entries    []*process
+	callers    []string
+	links      []string
+	agents     []*process
+	standins   []*process
+	late       *process
+	transcript strings.Builder
+}
+
+// Guards against commands and daemons that work alone but not together: wrong outputs, exit codes, requests that a
+// graceful stop cuts off, and daemons that do not end.
+func TestWholeRun(t *testing.T) {
+	// Without this, the race detector makes each command sleep for a second before it exits.
+	t.Setenv("GORACE", "atexit_sleep_ms=0")
+	s := &system{dir: t.TempDir()}
+	s.build(t)
+	s.start(t)
+	for _, step := range []struct {
+		name string
+		do   func(t *testing.T)
+	}{
+		{"fleet", s.fleet},
+		{"jobs", s.jobs},
+		{"resubmission", s.resubmission},
+		{"cancel", s.cancel},
+		{"calls", s.calls},
+		{"config", s.config},
+		{"drain", s.drain},
+		{"settings", s.settings},
+		{"agent", s.stopAgent},
+		{"entry", s.stopEntry},
+	} {
+		if step.name == "resubmission" {
+			// The deadline leaves time to start on a busy machine. The job is joined after steps that use that time.
+			s.late, _ = s.background(t, 0, "submit", "--kind", "hang", "--deadline", "10000")
+		}
+		ok := t.Run(step.name, func(t *testing.T) {
+			s.transcript.Reset()
+			step.do(t)
+			golden.Assert(t, s.transcript.String(), step.name+".golden")
+		})
+		if !ok {
+			t.FailNow()
+		}
+	}
+	s.stop(t)
+}
+
+// build makes the real binaries once. The product has the race detector; its reports end a process with code 66.
+func (s *system) build(t *testing.T) {
+	s.program = filepath.Join(s.dir, "lavendercourse")
+	for _, args := range [][]string{
+		{"build", "-race", "-o", s.program, "github.com/lavendercourse/lavendercourse/cmd/lavendercourse"},
+		{"build", "-o", filepath.Join(s.dir, "standin"), "github.com/lavendercourse/lavendercourse/cmd/standin"},
+	} {
+		out, err := exec.Command("go", args...).CombinedOutput()
+		assert.NilError(t, err, "%s", out)
+	}
+}
+
+func (s *system) start(t *testing.T) {
+	s.platform = s.standin(t, "platform")
+	for i := 1; i <= 3; i++ {
+		name := fmt.Sprintf("e%d", i)
+		path := s.file(t, name+".ini", fmt.Sprintf(`[place]
+region = accra
+domain = %s
+[entry]
+name = %s
+callers = 127.0.0.1:0
+links = 127.0.0.1:0
+[platform]
+address = %s
+[limits]
+keep = 3600000
+`, domains[i-1], name, s.platform))
+		p := start(t, name, s.program, "entry", "--settings", path)
+		found := p.await(t, `process started".*"callers":"([^"]+)","links":"([^"]+)"`)
+		s.entries, s.callers, s.links = append(s.entries, p), append(s.callers, found[0]), append(s.links, found[1])
+	}
+	for i := range workers {
+		name, domain := fmt.Sprintf("w%02d", i+1), domains[i/3]
+		worker := s.standin(t, "worker", "--name", name, "--domain", domain)
+		path := s.file(t, name+".ini", fmt.Sprintf(`[place]
+region = accra
+domain = %s
+rack = %s-rack
+[agent]
+name = %s
+entries = %s
+worker = %s
+memory = 64000
+cores = 32
+`, domain, domain, name, strings.Join(s.links, ", "), worker))
+		s.agents = append(s.agents, start(t, name, s.program, "agent", "--settings", path))
+	}
+}
+
+func (s *system) standin(t *testing.T, args ...string) string {
+	p := start(t, strings.Join(args, " "), filepath.Join(s.dir, "standin"), append(args, "--listen", "127.0.0.1:0")...)
+	s.standins = append(s.standins, p)
+	return p.await(t, `listening on (\S+)\n`)[0]
+}
+
+func (s *system) file(t *testing.T, name, text string) string {
+	path := filepath.Join(s.dir, name)
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// stop ends everything that still runs and checks that each process ended well.
+func (s *system) stop(t *testing.T) {
+	for _, p := range append(append([]*process{}, s.agents...), s.entries...) {
+		select {
+		case <-p.ended:
+		default:
+			p.terminate(t)
+		}
+		assert.Equal(t, p.code(t), 0, p.name)
+		assert.Assert(t, !strings.Contains(p.errOut.String(), "part of the process failed"), p.name)
+	}
+	for _, p := range s.standins {
+		p.terminate(t)
+		assert.Equal(t, p.code(t), 0, p.name)
+	}
+}
+
+// run runs a command through an entry and adds it to the transcript.
+func (s *system) run(t *testing.T, entry int, in string, args ...string) string {
+	t.Helper()
+	cmd := exec.Command(s.program, append(args, "--address", s.callers[entry])...)
+	cmd.Stdin = strings.NewReader(in)
+	return s.note(t, entry, cmd, args)
+}
+
+func (s *system) note(t *testing.T, entry int, cmd *exec.Cmd, args []string) string {
+	t.Helper()
+	var out, errOut strings.Builder
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	// The exit code is part of the transcript.
+	_ = cmd.Run()
+	s.write(entry, args, cmd.ProcessState.ExitCode(), out.String(), errOut.String())
+	return out.String()
+}
+
+func (s *system) write(entry int, args []string, code int, out, errOut string) {
+	text := fmt.Sprintf("$ lavendercourse %s (e%d)\n%s%s= %d\n", strings.Join(args, " "), entry+1, out, prefixed(errOut), code)
+	s.transcript.WriteString(s.normal(text))
+}
+
+func prefixed(errOut string) string {
+	if errOut == "" {
+		return ""
+	}
+	return "! " + strings.ReplaceAll(strings.TrimSuffix(errOut, "\n"), "\n", "\n! ") + "\n"
+}
+
+var (
+	jobID    = regexp.MustCompile(`[a-z2-7]{16}\.[0-9]+\.[a-z2-7]{8}`)
+	port     = regexp.MustCompile(`127\.0\.0\.1:[0-9]+`)
+	age      = regexp.MustCompile(`confirmed [0-9]+ ms ago`)
+	revision = regexp.MustCompile(`lavendercourse \S+ \S* ?go\S+`)
+)
+
+// normal replaces what differs from run to run.
+func (s *system) normal(text string) string {
+	text = strings.ReplaceAll(text, s.dir, "DIR")
+	text = jobID.ReplaceAllString(text, "ID")
+	text = port.ReplaceAllString(text, "ADDRESS")
+	text = age.ReplaceAllString(text, "confirmed N ms ago")
+	return revision.ReplaceAllString(text, "lavendercourse VERSION")
+}
+
+// ask runs a command without the transcript and decodes its JSON.
+func (s *system) ask(entry int, v any, args ...string) bool {
+	out, _ := exec.Command(s.program, append(args, "--address", s.callers[entry], "--output", "json")...).Output()
+	return json.Unmarshal(out, v) == nil
+}
+
+// background starts a command through an entry, and returns it with the id of its job.
+func (s *system) background(t *testing.T, entry int, args ...string) (*process, string) {
+	p := start(t, strings.Join(args, " "), s.program, append(args, "--address", s.callers[entry])...)
+	return p, p.await(t, `job (\S+) is submitted`)[0]
+}
+
+// join waits for a command in the background and adds it to the transcript.
+func (s *system) join(t *testing.T, p *process, entry int) {
+	code := p.code(t)
+	s.write(entry, p.cmd.Args[1:len(p.cmd.Args)-2], code, p.out.String(), p.errOut.String())
+}
+
+// awaitRunning waits until the given number of tasks of a job run.
+func (s *system) awaitRunning(t *testing.T, entry int, id string, n int) {
+	waitFor(t, "tasks of "+id+" run", func() bool {
+		var status struct{ Running int }
+		return s.ask(entry, &status, "status", id) && status.Running == n
+	})
+}
+
+// awaitStarted waits until a task of a job has started.
+func (s *system) awaitStarted(t *testing.T, entry int, id string) {
+	waitFor(t, "a task of "+id+" has started", func() bool {
+		var status struct{ Running, Finished int }
+		return s.ask(entry, &status, "status", id) && status.Running+status.Finished > 0
+	})
+}
+
+// awaitVersion waits until an entry has a version of the configuration.
+func (s *system) awaitVersion(t *testing.T, entry, version int) {
+	waitFor(t, fmt.Sprintf("e%d has version %d", entry+1, version), func() bool {
+		var config struct{ Version int }
+		return s.ask(entry, &config, "config", "get") && config.Version >= version
+	})
+}
+
+// awaitIdle waits until an entry knows of no running task.
+func (s *system) awaitIdle(t *testing.T, entry int) {
+	waitFor(t, "no task runs", func() bool {
+		var list []struct{ Running int }
+		if !s.ask(entry, &list, "domain", "list") {
+			return false
+		}
+		for _, d := range list {
+			if d.Running > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *system) fleet(t *testing.T) {
+	for i := range s.entries {
+		waitFor(t, "all workers have told their window", func() bool {
+			var list []struct{ Window int }
+			if !s.ask(i, &list, "workers") || len(list) != workers {
+				return false
+			}
+			for _, w := range list {
+				if w.Window != 9 {
+					return false
+				}
+			}
+			return true
+		})
+		s.awaitVersion(t, i, 0)
+	}
+	s.run(t, 0, "", "workers")
+	s.run(t, 1, "", "domain", "list")
+	s.run(t, 2, "", "domain", "list", "--output", "json")
+	s.run(t, 0, "", "config", "get")
+	s.run(t, 0, "", "version")
+}
+
+func (s *system) jobs(t *testing.T) {
+	// The first job waits until every entry holds its quorum lease and has read the configuration.
+	for i := range s.entries {
+		waitFor(t, fmt.Sprintf("e%d takes jobs", i+1), func() bool {
+			var resp struct{ Verdict struct{ Outcome string } }
+			return s.ask(i, &resp, "submit", "--kind", "sleep", "--payload", "1") && resp.Verdict.Outcome == "complete"
+		})
+	}
+	s.run(t, 0, "", "submit", "--team", "proofs", "--class", "quick", "--kind", "sleep", "--payload", "50 ms", "--tasks", "3")
+	s.run(t, 1, "", "submit", "--kind", "sleep", "--payload", "5", "--output", "json")
+	s.run(t, 2, "[job]\nteam = layouts\n[task]\nkind = sleep\npayload = 10 a\ncount = 2\n[task]\nkind = sleep\npayload = 10 b\n", "submit", "-")
+	s.run(t, 0, `{"tasks": [{"kind": "sleep", "payload": "10"}, {"kind": "fail"}]}`, "submit", "-", "--deadline", "60000")
+	s.run(t, 0, `{"tasks": [{"kind": "sleep", "memory": 1000000}]}`, "submit", "-")
+	s.run(t, 0, "[task]\nkind = sleep\nmemroy = 1\n", "submit", "-")
+	s.run(t, 0, "", "submit", "--kind", "sleep", "--tasks", "1101")
+}
+
+func (s *system) resubmission(t *testing.T) {
+	id := jobID.FindString(s.run(t, 0, "", "submit", "--kind", "sleep", "--payload", "20", "--tasks", "2"))
+	s.run(t, 1, "", "submit", "--kind", "sleep", "--payload", "20", "--tasks", "2", "--id", id)
+	s.run(t, 2, "", "submit", "--kind", "sleep", "--payload", "21", "--tasks", "2", "--id", id)
+	s.run(t, 2, "", "status", id)
+	s.run(t, 1, "", "status", id, "--output", "json")
+	s.run(t, 1, "", "cancel", id)
+	s.run(t, 1, "", "status", id[:len(id)-8]+"aaaaaaaa")
+	s.run(t, 0, "", "status", "malformed")
+}
+
+func (s *system) cancel(t *testing.T) {
+	p, id := s.background(t, 0, "submit", "--kind", "hang", "--tasks", "2")
+	s.awaitRunning(t, 1, id, 2)
+	s.run(t, 1, "", "status", id)
+	s.run(t, 2, "", "cancel", id)
+	s.join(t, p, 0)
+	s.run(t, 1, "", "status", id)
+	s.run(t, 1, "", "cancel", id, "--output", "json")
+}
+
+func (s *system) calls(t *testing.T) {
+	s.run(t, 0, "", "call", "--kind", "sleep", "--payload", "10 once")
+	s.run(t, 1, "", "call", "--kind", "sleep", "--payload", "10 twice", "--idempotent")
+	s.run(t, 2, "", "call", "--kind", "sleep", "--payload", "5", "--output", "json")
+	s.run(t, 0, "", "call", "--payload", "5")
+	var resp struct {
+		Verdict struct{ Outcome, Reason, Ran string }
+	}
+	assert.Assert(t, s.ask(0, &resp, "call", "--kind", "fail"))
+	assert.Equal(t, fmt.Sprintf("%+v", resp.Verdict), "{Outcome:failed Reason:task Ran:some}")
+}
+
+func (s *system) config(t *testing.T) {
+	s.run(t, 0, "", "config", "publish", "team.proofs.quota", "40")
+	s.run(t, 1, "", "config", "publish", "team.proofs.weight", "3", "--output", "json")
+	s.run(t, 0, "", "config", "publish", "team.proofs.quota", "50", "--base", "0")
+	s.awaitVersion(t, 2, 2)
+	s.run(t, 2, "", "config", "publish", "team.proofs.quota", "60")
+	s.run(t, 0, "", "config", "publish", "team.proofs.quota", "70", "--force", "--id", "change-1")
+	s.run(t, 0, "", "config", "publish", "team.proofs.quota", "70", "--force", "--id", "change-1")
+	s.run(t, 0, "", "config", "publish", "team.proofs.colour", "red")
+	for i := range s.entries {
+		s.awaitVersion(t, i, 4)
+	}
+	s.run(t, 1, "", "config", "get")
+	s.run(t, 1, "", "config", "get", "team.proofs.quota")
+	s.run(t, 1, "", "config", "get", "team.other.quota")
+	s.run(t, 2, "", "config", "history")
+	s.run(t, 2, "", "config", "history", "--count", "1", "--output", "json")
+}
+
+func (s *system) drain(t *testing.T) {
+	s.join(t, s.late, 0)
+	s.run(t, 0, "", "domain", "drain", "accra-2")
+	for i := range s.entries {
+		s.awaitVersion(t, i, 5)
+		s.awaitIdle(t, i)
+	}
+	s.run(t, 1, "", "domain", "list")
+	s.run(t, 2, "", "submit", "--kind", "sleep", "--payload", "20", "--tasks", "2")
+	s.run(t, 1, "", "domain", "restore", "accra-2")
+	s.awaitVersion(t, 2, 6)
+	s.awaitIdle(t, 2)
+	s.run(t, 2, "", "domain", "list", "--output", "json")
+	s.run(t, 2, "", "domain", "drain", "Accra")
+}
+
+func (s *system) settings(t *testing.T) {
+	wrong := s.file(t, "wrong.ini", "[Place]\nregion = accra\n[entry]\nname = e9\nseeds = here\nport = 1\n[slot]\nlease = 1\n")
+	s.run(t, 0, "", "settings", "check", "--settings", wrong)
+	s.run(t, 0, "", "entry", "--settings", wrong)
+	s.run(t, 0, "", "agent", "--settings", wrong)
+	s.run(t, 0, "", "settings", "check", "--settings", filepath.Join(s.dir, "w01.ini"))
+	s.run(t, 0, "", "settings", "check", "--settings", filepath.Join(s.dir, "none.ini"), "--output", "json")
+}
+
+// stopAgent stops an agent while its worker runs tasks of a job, which must still become complete.
+func (s *system) stopAgent(t *testing.T) {
+	p, id := s.background(t, 0, "submit", "--kind", "sleep", "--payload", "5000", "--tasks", "80")
+	leaving := s.agents[7]
+	waitFor(t, "the leaving worker runs tasks", func() bool {
+		var list []struct {
+			Name    string
+			Running int
+		}
+		if !s.ask(0, &list, "workers") {
+			return false
+		}
+		for _, w := range list {
+			if w.Name == leaving.name && w.Running > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	leaving.terminate(t)
+	assert.Equal(t, leaving.code(t), 0)
+	s.join(t, p, 0)
+	s.run(t, 1, "", "status", id)
+	waitFor(t, "the worker has left the list", func() bool {
+		var list []struct{ Name string }
+		return s.ask(2, &list, "workers") && len(list) == workers-1
+	})
+}
+
+// stopEntry stops an entry that owns two jobs: one runs to its end, the other keeps the entry up until it is cancelled.
+func (s *system) stopEntry(t *testing.T) {
+	hanging, id := s.background(t, 2, "submit", "--kind", "hang")
+	s.awaitRunning(t, 2, id, 1)
+	finishing, other := s.background(t, 2, "submit", "--kind", "sleep", "--payload", "2000", "--tasks", "8")
+	s.awaitStarted(t, 2, other)
+	s.entries[2].terminate(t)
+	s.entries[2].await(t, "process is stopping")
+	s.run(t, 2, "", "submit", "--kind", "sleep")
+	s.run(t, 2, "", "call", "--kind", "sleep")
+	s.run(t, 0, "", "submit", "--kind", "sleep", "--payload", "10")
+	s.join(t, finishing, 2)
+	s.run(t, 2, "", "cancel", id)
+	s.join(t, hanging, 2)
+	assert.Equal(t, s.entries[2].code(t), 0)
+	s.run(t, 2, "", "submit", "--kind", "sleep")
+	s.run(t, 1, "", "submit", "--kind", "sleep", "--payload", "10")
+}
--- a/command/call.go
+++ b/command/call.go
@@ -27,7 +27,7 @@
 			defer cancel()
 			req.Payload = []byte(payload)
 			cl := newClient(c.address)
-			resp, err := cl.caller().Call(ctx, req)
+			resp, err := cl.caller(nil).Call(ctx, req)
 			if err != nil {
 				return cl.fail(err, ExitUnknown, "the call may have run")
 			}
--- a/command/cancel.go
+++ b/command/cancel.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -23,13 +24,13 @@
 			ctx, cancel := c.within(cmd.Context())
 			defer cancel()
 			cl, id := newClient(c.address), args[0]
-			resp, err := cl.caller().Cancel(ctx, id)
+			resp, err := cl.caller(nil).Cancel(ctx, id)
 			if err != nil {
 				return cl.fail(err, ExitUnknown, "it is not known whether the job was cancelled")
 			}
 			v := resp.GetVerdict()
 			err = c.show(cancelView{ID: id, Verdict: viewOf(v)}, func(w io.Writer) {
-				_, _ = fmt.Fprintf(w, "job %s %s %s\n", id, outcomeOf(v), reasonOf(v))
+				_, _ = fmt.Fprintln(w, strings.TrimSpace(fmt.Sprintf("job %s %s %s", id, outcomeOf(v), reasonOf(v))))
 			})
 			if err != nil || v.GetReason() == dispatchv1.Reason_REASON_CANCELLED {
 				return err
--- a/command/client.go
+++ b/command/client.go
@@ -36,9 +36,10 @@
 	return c
 }
 
-func (c *client) caller() *caller.Client {
+// caller returns a client that calls issued with the id of a job before the job is submitted. Issued may be nil.
+func (c *client) caller(issued func(id string)) *caller.Client {
 	// One command needs one id.
-	return caller.New(caller.Config{Address: c.address, Block: 1, HTTP: c.http})
+	return caller.New(caller.Config{Address: c.address, Block: 1, HTTP: c.http, Issued: issued})
 }
 
 func (c *client) operator() dispatchv1connect.OperatorServiceClient {
--- a/command/exit.go
+++ b/command/exit.go
@@ -85,7 +85,11 @@
 	text := strings.ReplaceAll(err.Error(), "\n", " ")
 	switch {
 	case errors.Is(err, caller.ErrInvalid):
-		return failure(ExitUsage, "%s; nothing was run", text)
+		// The entry's own words may already say that nothing was run.
+		text = strings.TrimSuffix(text, ": "+caller.ErrInvalid.Error())
+		return failure(ExitUsage, "%s; nothing was run", strings.TrimSuffix(text, "; nothing was run"))
+	case errors.Is(err, caller.ErrRefused):
+		return failure(ExitRefused, "%s; not run", strings.TrimSuffix(text, ": "+caller.ErrRefused.Error()))
 	case !connected:
 		return failure(ExitUnreachable, "entry cannot be reached; this command had nothing run: %s", text)
 	default:
--- a/command/status.go
+++ b/command/status.go
@@ -24,7 +24,7 @@
 			ctx, cancel := c.within(cmd.Context())
 			defer cancel()
 			cl, id := newClient(c.address), args[0]
-			resp, err := cl.caller().Status(ctx, id)
+			resp, err := cl.caller(nil).Status(ctx, id)
 			if err != nil {
 				return cl.fail(err, ExitUnreachable, "the job is not changed")
 			}
--- a/command/submit.go
+++ b/command/submit.go
@@ -40,7 +40,10 @@
 	ctx, cancel := c.within(cmd.Context())
 	defer cancel()
 	cl := newClient(c.address)
-	resp, err := cl.caller().Submit(ctx, req)
+	// The id is told at once, so that the job can be cancelled, or submitted again if its response is lost.
+	resp, err := cl.caller(func(id string) {
+		_, _ = fmt.Fprintf(c.errOut, "job %s is submitted\n", id)
+	}).Submit(ctx, req)
 	if err != nil && req.GetId() == "" {
 		return cl.fail(err, ExitUnreachable, "no job id was issued and nothing was run")
 	}
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os/signal"
@@ -100,6 +101,7 @@
 	if err != nil {
 		return err
 	}
+	fmt.Println("listening on", l.Addr())
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	go func() {
 		<-ctx.Done()
