Stop an agent only after messages on their way have arrived

An agent closed its links 20 ms after its last task. A start or done message that took longer was lost, and its job failed although the shutdown was graceful. The agent now waits until every entry has answered a heartbeat.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,8 @@
 	dialPeriod   = 500 * clock.Millis(1)
 	expirePeriod = clock.Second
 	drainPoll    = 20 * time.Millisecond
+	// settleTimeout bounds the wait for an entry that has a link but does not answer heartbeats.
+	settleTimeout = 5 * clock.Second
 	// maxLinks is the number of entries that an agent keeps links with, so that links do not grow with the fleet.
 	maxLinks = 4
 )
@@ -61,6 +63,8 @@
 	mu    sync.Mutex
 	table *slot.Table
 	links map[string]*link.Link
+	// renewed holds the timestamp of the newest heartbeat that each entry has answered.
+	renewed map[string]clock.Millis
 	// entries holds the addresses of the entries by name.
 	entries map[string]string
 	running map[lavendercourse.TaskKey]context.CancelFunc
@@ -88,7 +92,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		cfg: cfg, ctx: ctx, cancel: cancel, table: slot.New(cfg.Slots),
-		links: map[string]*link.Link{}, entries: map[string]string{},
+		links: map[string]*link.Link{}, entries: map[string]string{}, renewed: map[string]clock.Millis{},
 		running: map[lavendercourse.TaskKey]context.CancelFunc{},
 	}
 	s := suture.New(cfg.Name, suture.Spec{EventHook: func(ev suture.Event) {
@@ -116,6 +120,8 @@
 	}
 	a.perform(actions)
 	a.mu.Unlock()
+	// After this, no start is on its way to this agent.
+	a.settle(ctx)
 	for a.busy() > 0 {
 		select {
 		case <-ctx.Done():
@@ -124,13 +130,42 @@
 		case <-time.After(drainPoll):
 		}
 	}
-	// The last done messages are on their way; give the links the time to write them.
-	time.Sleep(drainPoll)
+	// After this, no done message is on its way to an entry.
+	a.settle(ctx)
 	a.Kill()
 	event.Stopped.On(a.cfg.Logger).Send()
 	return nil
 }
 
+// settle waits until every linked entry has answered a heartbeat sent now. Since a link keeps the order of its messages,
+// the entry has then handled what was sent to it before, and what it sent before has arrived.
+func (a *Agent) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout.Duration())
+	defer cancel()
+	// Heartbeats sent before the pause have older timestamps.
+	time.Sleep(drainPoll)
+	stamp := a.cfg.Clock.Now()
+	a.beat()
+	for !a.settled(stamp) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(drainPoll):
+		}
+	}
+}
+
+func (a *Agent) settled(stamp clock.Millis) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name := range a.links {
+		if a.renewed[name] < stamp {
+			return false
+		}
+	}
+	return true
+}
+
 // Kill ends the agent at once.
 func (a *Agent) Kill() {
 	a.cancel()
--- a/agent/link.go
+++ b/agent/link.go
@@ -93,6 +93,7 @@
 			return err
 		}
 		a.table.Renew(now, entry, r)
+		a.renewed[entry] = r.Stamp
 		a.learn(r.Peers)
 	}
 	return nil
@@ -108,6 +109,7 @@
 	defer a.mu.Unlock()
 	if a.links[entry] == l {
 		delete(a.links, entry)
+		delete(a.renewed, entry)
 		a.table.Unlinked(entry)
 		event.LinkClosed.On(a.cfg.Logger).Str("peer", entry).Send()
 	}
@@ -133,6 +135,10 @@
 		a.entries[w.Name] = l.RemoteAddr().String()
 	}
 	event.EntryJoined.On(a.cfg.Logger).Str("entry", w.Name).Send()
+	if a.leaving {
+		// The link was dialed before the agent was told to stop.
+		_ = l.Send(message.TypeLeave, 0, message.Leave{})
+	}
 	a.beatOn(w.Name, l)
 	return nil
 }
--- /dev/null
+++ b/agent/stop_test.go
@@ -0,0 +1,105 @@
+package agent_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/agent"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/link"
+	"github.com/lavendercourse/lavendercourse/message"
+)
+
+// slowEntry is an entry that reads the leave of an agent late and has sent a start by then.
+type slowEntry struct {
+	mu    sync.Mutex
+	agent string
+	beats int
+	done  []message.Done
+}
+
+func (e *slowEntry) Frame(l *link.Link, f message.Frame) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch f.Type {
+	case message.TypeHello:
+		var h message.Hello
+		if err := f.DecodeBody(&h); err != nil {
+			return err
+		}
+		e.agent = h.Incarnation
+		return l.Send(message.TypeWelcome, 0, message.Welcome{Name: "e1", Incarnation: "inc"})
+	case message.TypeBeat:
+		var b message.Beat
+		if err := f.DecodeBody(&b); err != nil {
+			return err
+		}
+		e.beats++
+		return l.Send(message.TypeRenew, 0, message.Renew{Stamp: b.Stamp, Incarnation: "inc"})
+	case message.TypeLeave:
+		time.Sleep(200 * time.Millisecond)
+		id := lavendercourse.NewJobID("inc", 0, "tag").String()
+		return l.Send(message.TypeStart, 0, message.Start{Job: id, Attempt: 1, Agent: e.agent, Kind: "sleep"})
+	case message.TypeDone:
+		var d message.Done
+		if err := f.DecodeBody(&d); err != nil {
+			return err
+		}
+		e.done = append(e.done, d)
+	}
+	return nil
+}
+
+func (e *slowEntry) Closed(*link.Link) {}
+
+// Guards against an agent that closes its links while a start is on its way to it. The entry would never learn that the
+// task did not run, and would fail the job.
+func TestStopAnswersStartsOnTheirWay(t *testing.T) {
+	e := &slowEntry{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = link.Accept(w, req, link.Config{Handler: e})
+	}))
+	defer server.Close()
+	a, err := agent.New(agent.Config{
+		Name: "w1", Entries: []string{strings.TrimPrefix(server.URL, "http://")},
+		Backend: noBackend{}, Clock: clock.NewSystem(),
+	})
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.beats > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no heartbeat yet")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	assert.NilError(t, a.Stop(ctx))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	assert.Equal(t, len(e.done), 1)
+	assert.Equal(t, e.done[0].Status, message.StatusRefused)
+}
+
+// noBackend runs nothing.
+type noBackend struct{}
+
+func (noBackend) Run(context.Context, lavendercourse.Work) (lavendercourse.Result, error) {
+	return lavendercourse.Result{}, nil
+}
+
+func (noBackend) Call(context.Context, lavendercourse.Work) (lavendercourse.Result, error) {
+	return lavendercourse.Result{}, nil
+}
+
+func (noBackend) Stop(context.Context, lavendercourse.TaskKey) error { return nil }
