--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -71,7 +71,7 @@
 	defer server.Close()
 	a, err := agent.New(agent.Config{
 		Name: "w1", Entries: []string{strings.TrimPrefix(server.URL, "http://")},
-		Backend: noBackend{}, Clock: clock.NewSystem(),
+		Backend: struct{ lavendercourse.Backend }{}, Clock: clock.NewSystem(),
 	})
 	assert.NilError(t, err)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -90,16 +90,3 @@
 	assert.Equal(t, len(e.done), 1)
 	assert.Equal(t, e.done[0].Status, message.StatusRefused)
 }
-
-// noBackend runs nothing.
-type noBackend struct{}
-
-func (noBackend) Run(context.Context, lavendercourse.Work) (lavendercourse.Result, error) {
-	return lavendercourse.Result{}, nil
-}
-
-func (noBackend) Call(context.Context, lavendercourse.Work) (lavendercourse.Result, error) {
-	return lavendercourse.Result{}, nil
-}
-
-func (noBackend) Stop(context.Context, lavendercourse.TaskKey) error { return nil }
--- a/cmd/lavendercourse/whole_test.go
+++ b/cmd/lavendercourse/whole_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -18,6 +19,12 @@
 
 var domains = []string{"accra-1", "accra-2", "kumasi-1", "kumasi-2"}
 
+// workerView is the part of the listed workers and failure domains that steps wait for.
+type workerView struct {
+	Name            string
+	Running, Window int
+}
+
 // system is the whole system as separate processes, and the transcript of the commands that were run against it.
 type system struct {
 	dir        string
@@ -87,18 +94,9 @@
 	s.platform = s.standin(t, "platform")
 	for i := 1; i <= 3; i++ {
 		name := fmt.Sprintf("e%d", i)
-		path := s.file(t, name+".ini", fmt.Sprintf(`[place]
-region = accra
-domain = %s
-[entry]
-name = %s
-callers = 127.0.0.1:0
-links = 127.0.0.1:0
-[platform]
-address = %s
-[limits]
-keep = 3600000
-`, domains[i-1], name, s.platform))
+		path := s.file(t, name+".ini", fmt.Sprintf("[place]\nregion = accra\ndomain = %s\n[entry]\nname = %s\n"+
+			"callers = 127.0.0.1:0\nlinks = 127.0.0.1:0\n[platform]\naddress = %s\n[limits]\nkeep = 3600000\n",
+			domains[i-1], name, s.platform))
 		p := start(t, name, s.program, "entry", "--settings", path)
 		found := p.await(t, `process started".*"callers":"([^"]+)","links":"([^"]+)"`)
 		s.entries, s.callers, s.links = append(s.entries, p), append(s.callers, found[0]), append(s.links, found[1])
@@ -106,17 +104,9 @@
 	for i := range workers {
 		name, domain := fmt.Sprintf("w%02d", i+1), domains[i/3]
 		worker := s.standin(t, "worker", "--name", name, "--domain", domain)
-		path := s.file(t, name+".ini", fmt.Sprintf(`[place]
-region = accra
-domain = %s
-rack = %s-rack
-[agent]
-name = %s
-entries = %s
-worker = %s
-memory = 64000
-cores = 32
-`, domain, domain, name, strings.Join(s.links, ", "), worker))
+		path := s.file(t, name+".ini", fmt.Sprintf("[place]\nregion = accra\ndomain = %s\nrack = %s-rack\n"+
+			"[agent]\nname = %s\nentries = %s\nworker = %s\nmemory = 64000\ncores = 32\n",
+			domain, domain, name, strings.Join(s.links, ", "), worker))
 		s.agents = append(s.agents, start(t, name, s.program, "agent", "--settings", path))
 	}
 }
@@ -152,16 +142,10 @@
 
 // run runs a command through an entry and adds it to the transcript.
 func (s *system) run(t *testing.T, entry int, in string, args ...string) string {
-	t.Helper()
-	cmd := exec.Command(s.program, append(args, "--address", s.callers[entry])...)
-	cmd.Stdin = strings.NewReader(in)
-	return s.note(t, entry, cmd, args)
-}
-
-func (s *system) note(t *testing.T, entry int, cmd *exec.Cmd, args []string) string {
 	t.Helper()
 	var out, errOut strings.Builder
-	cmd.Stdout, cmd.Stderr = &out, &errOut
+	cmd := exec.Command(s.program, append(args, "--address", s.callers[entry])...)
+	cmd.Stdin, cmd.Stdout, cmd.Stderr = strings.NewReader(in), &out, &errOut
 	// The exit code is part of the transcript.
 	_ = cmd.Run()
 	s.write(entry, args, cmd.ProcessState.ExitCode(), out.String(), errOut.String())
@@ -214,19 +198,11 @@
 	s.write(entry, p.cmd.Args[1:len(p.cmd.Args)-2], code, p.out.String(), p.errOut.String())
 }
 
-// awaitRunning waits until the given number of tasks of a job run.
-func (s *system) awaitRunning(t *testing.T, entry int, id string, n int) {
-	waitFor(t, "tasks of "+id+" run", func() bool {
-		var status struct{ Running int }
-		return s.ask(entry, &status, "status", id) && status.Running == n
-	})
-}
-
-// awaitStarted waits until a task of a job has started.
-func (s *system) awaitStarted(t *testing.T, entry int, id string) {
-	waitFor(t, "a task of "+id+" has started", func() bool {
+// awaitStarted waits until the given number of tasks of a job have started.
+func (s *system) awaitStarted(t *testing.T, entry int, id string, n int) {
+	waitFor(t, "tasks of "+id+" start", func() bool {
 		var status struct{ Running, Finished int }
-		return s.ask(entry, &status, "status", id) && status.Running+status.Finished > 0
+		return s.ask(entry, &status, "status", id) && status.Running+status.Finished >= n
 	})
 }
 
@@ -241,32 +217,17 @@
 // awaitIdle waits until an entry knows of no running task.
 func (s *system) awaitIdle(t *testing.T, entry int) {
 	waitFor(t, "no task runs", func() bool {
-		var list []struct{ Running int }
-		if !s.ask(entry, &list, "domain", "list") {
-			return false
-		}
-		for _, d := range list {
-			if d.Running > 0 {
-				return false
-			}
-		}
-		return true
+		var list []workerView
+		return s.ask(entry, &list, "domain", "list") && !slices.ContainsFunc(list, func(d workerView) bool { return d.Running > 0 })
 	})
 }
 
 func (s *system) fleet(t *testing.T) {
 	for i := range s.entries {
 		waitFor(t, "all workers have told their window", func() bool {
-			var list []struct{ Window int }
-			if !s.ask(i, &list, "workers") || len(list) != workers {
-				return false
-			}
-			for _, w := range list {
-				if w.Window != 9 {
-					return false
-				}
-			}
-			return true
+			var list []workerView
+			return s.ask(i, &list, "workers") && len(list) == workers &&
+				!slices.ContainsFunc(list, func(w workerView) bool { return w.Window != 9 })
 		})
 		s.awaitVersion(t, i, 0)
 	}
@@ -307,7 +268,7 @@
 
 func (s *system) cancel(t *testing.T) {
 	p, id := s.background(t, 0, "submit", "--kind", "hang", "--tasks", "2")
-	s.awaitRunning(t, 1, id, 2)
+	s.awaitStarted(t, 1, id, 2)
 	s.run(t, 1, "", "status", id)
 	s.run(t, 2, "", "cancel", id)
 	s.join(t, p, 0)
@@ -376,26 +337,16 @@
 	p, id := s.background(t, 0, "submit", "--kind", "sleep", "--payload", "5000", "--tasks", "80")
 	leaving := s.agents[7]
 	waitFor(t, "the leaving worker runs tasks", func() bool {
-		var list []struct {
-			Name    string
-			Running int
-		}
-		if !s.ask(0, &list, "workers") {
-			return false
-		}
-		for _, w := range list {
-			if w.Name == leaving.name && w.Running > 0 {
-				return true
-			}
-		}
-		return false
+		var list []workerView
+		return s.ask(0, &list, "workers") &&
+			slices.ContainsFunc(list, func(w workerView) bool { return w.Name == leaving.name && w.Running > 0 })
 	})
 	leaving.terminate(t)
 	assert.Equal(t, leaving.code(t), 0)
 	s.join(t, p, 0)
 	s.run(t, 1, "", "status", id)
 	waitFor(t, "the worker has left the list", func() bool {
-		var list []struct{ Name string }
+		var list []workerView
 		return s.ask(2, &list, "workers") && len(list) == workers-1
 	})
 }
@@ -403,9 +354,9 @@
 // stopEntry stops an entry that owns two jobs: one runs to its end, the other keeps the entry up until it is cancelled.
 func (s *system) stopEntry(t *testing.T) {
 	hanging, id := s.background(t, 2, "submit", "--kind", "hang")
-	s.awaitRunning(t, 2, id, 1)
+	s.awaitStarted(t, 2, id, 1)
 	finishing, other := s.background(t, 2, "submit", "--kind", "sleep", "--payload", "2000", "--tasks", "8")
-	s.awaitStarted(t, 2, other)
+	s.awaitStarted(t, 2, other, 1)
 	s.entries[2].terminate(t)
 	s.entries[2].await(t, "process is stopping")
 	s.run(t, 2, "", "submit", "--kind", "sleep")
