Keep payloads and results that fit no frame from blocking links and jobs

A task of more than 4 MiB made its entry close the link of one agent after another until the deadline, and a forwarded response of more than 4 MiB never arrived. Such tasks are refused now, and such responses are replaced by a verdict.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -248,6 +249,9 @@
 		do = a.cfg.Backend.Call
 	}
 	res, err := do(ctx, w)
+	if n := len(res.Data) + len(res.Failure); n > message.MaxData {
+		return message.StatusFailed, nil, fmt.Sprintf("result of %d bytes is larger than %d bytes", n, message.MaxData)
+	}
 	switch {
 	case err != nil:
 		return message.StatusFailed, nil, err.Error()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -122,6 +122,9 @@
 	if m.GetTeam() == "" || m.GetKind() == "" {
 		return nil, invalid("a call needs a team and a kind")
 	}
+	if n := len(m.GetKind()) + len(m.GetPayload()); n > message.MaxData {
+		return nil, invalid("the call has %d bytes, want at most %d", n, message.MaxData)
+	}
 	d.budget.call()
 	for try := 0; ; try++ {
 		v, result := d.call(ctx, m)
@@ -164,11 +167,26 @@
 	default:
 		resp = d.cancel(id)
 	}
+	return replyOf(resp)
+}
+
+// replyOf encodes a response. One that does not fit into a frame is replaced by a verdict that makes no claim, since the
+// requester would otherwise wait for it in vain.
+func replyOf(resp proto.Message) message.Reply {
 	b, err := proto.Marshal(resp)
 	if err != nil {
 		return message.Reply{Error: err.Error()}
 	}
-	return message.Reply{Response: b}
+	if len(b) <= message.MaxData {
+		return message.Reply{Response: b}
+	}
+	return replyOf(&dispatchv1.SubmitResponse{Verdict: verdictOf(tooLarge("response", len(b)))})
+}
+
+// tooLarge makes no claim about a job whose request or response cannot be forwarded.
+func tooLarge(what string, n int) lavendercourse.Verdict {
+	return lavendercourse.NoClaim(lavendercourse.ReasonInvalid, fmt.Sprintf(
+		"the %s of %d bytes is too large to be forwarded; ask the entry that issued the id", what, n), 0)
 }
 
 // route answers here if this entry owns the job, and asks the owner otherwise. It returns a verdict if the owner has
@@ -182,6 +200,11 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
+	if len(b) > message.MaxData {
+		v := tooLarge("request", len(b))
+		v.Ran = false
+		return verdictOf(v), nil
+	}
 	r, err := d.peer.forward(ctx, id.Incarnation(), message.Forward{Method: method, Request: b})
 	if err == nil && r.Error == "" {
 		if err := proto.Unmarshal(r.Response, resp); err != nil {
@@ -459,6 +482,9 @@
 		if t.GetKind() == "" {
 			return invalid("task %d has no kind", i)
 		}
+		if n := len(t.GetKind()) + len(t.GetPayload()); n > message.MaxData {
+			return invalid("task %d has %d bytes, want at most %d", i, n, message.MaxData)
+		}
 	}
 	return nil
 }
--- a/message/frame.go
+++ b/message/frame.go
@@ -13,6 +13,10 @@
 // MaxSize is the size in bytes above which a frame is rejected.
 const MaxSize = 4 << 20
 
+// MaxData is the size in bytes of a payload, result or forwarded request that certainly fits into a frame beside the
+// other fields of its body.
+const MaxData = MaxSize - 64<<10
+
 // Errors of this package.
 var (
 	ErrFrame = eris.New("malformed frame")
