--- a/command/command_test.go
+++ b/command/command_test.go
@@ -92,6 +92,7 @@
 		{dispatchv1.Outcome_OUTCOME_FAILED, dispatchv1.Ran_RAN_NOTHING, ExitFailed, "nothing was run"},
 		{dispatchv1.Outcome_OUTCOME_REFUSED, dispatchv1.Ran_RAN_NOTHING, ExitRefused, "not run"},
 		{dispatchv1.Outcome_OUTCOME_UNKNOWN, dispatchv1.Ran_RAN_SOME, ExitUnknown, "may have run"},
+		{dispatchv1.Outcome_OUTCOME_UNKNOWN, dispatchv1.Ran_RAN_NOTHING, ExitUnknown, "this request had nothing run"},
 		{dispatchv1.Outcome_OUTCOME_UNSPECIFIED, dispatchv1.Ran_RAN_UNSPECIFIED, ExitUnknown, "may have run"},
 	} {
 		code, text := explain(verdictError("job a", &dispatchv1.Verdict{Outcome: c.outcome, Ran: c.ran}))
--- a/command/exit.go
+++ b/command/exit.go
@@ -61,7 +61,7 @@
 	case dispatchv1.Outcome_OUTCOME_REFUSED:
 		return failure(ExitRefused, "%s was refused (%s); not run%s", what, why, retryText(v))
 	default:
-		return failure(ExitUnknown, "outcome of %s is unknown (%s); it may have run%s", what, why, retryText(v))
+		return failure(ExitUnknown, "outcome of %s is unknown (%s); %s%s", what, why, unknownText(v), retryText(v))
 	}
 }
 
@@ -72,6 +72,14 @@
 	return "some of it may have run and will not be started again"
 }
 
+// unknownText follows the schema: with an unknown outcome, "nothing" is said of this request only.
+func unknownText(v *dispatchv1.Verdict) string {
+	if v.GetRan() == dispatchv1.Ran_RAN_NOTHING {
+		return "this request had nothing run, an earlier one with the same id may have"
+	}
+	return "it may have run"
+}
+
 func retryText(v *dispatchv1.Verdict) string {
 	if v.GetRetryMs() == 0 {
 		return ""
