--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -40,6 +41,8 @@
 	dialPeriod   = 500 * clock.Millis(1)
 	expirePeriod = clock.Second
 	drainPoll    = 20 * time.Millisecond
+	// settleTimeout bounds the wait for an entry that has a link but does not answer heartbeats.
+	settleTimeout = 5 * clock.Second
 	// maxLinks is the number of entries that an agent keeps links with, so that links do not grow with the fleet.
 	maxLinks = 4
 )
@@ -152,6 +155,8 @@
 	}
 	a.perform(actions)
 	a.mu.Unlock()
+	// After this, no start is on its way to this agent.
+	a.settle(ctx)
 	for a.busy() > 0 {
 		select {
 		case <-ctx.Done():
@@ -161,23 +166,42 @@
 		case <-time.After(drainPoll):
 		}
 	}
-	a.flush(ctx)
+	// After this, no done message is on its way to an entry.
+	a.settle(ctx)
 	a.Kill()
 	event.Stopped.On(a.cfg.Logger).Send()
 	return nil
 }
 
-// flush waits until the last done messages are written.
-func (a *Agent) flush(ctx context.Context) {
+// settle waits until every linked entry has answered a heartbeat sent now. Since a link keeps the order of its messages,
+// the entry has then handled what was sent to it before, and what it sent before has arrived.
+func (a *Agent) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout.Duration())
+	defer cancel()
+	const number = 1
 	a.mu.Lock()
-	links := make([]*link.Link, 0, len(a.links))
-	for _, s := range a.links {
-		links = append(links, s.link)
+	for name, s := range a.links {
+		a.sendLoad(a.cfg.Clock.Now(), message.TypeBeat, number, name, s)
 	}
 	a.mu.Unlock()
-	for _, l := range links {
-		l.Flush(ctx)
+	for !a.settled(number) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(drainPoll):
+		}
+	}
+}
+
+func (a *Agent) settled(number uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.links {
+		if s.answered != number {
+			return false
+		}
 	}
+	return true
 }
 
 // Kill ends the agent at once. It may be called again.
@@ -218,15 +242,15 @@
 }
 
 func (a *Agent) beatOn(now clock.Millis, name string, s *entryLink) {
-	a.sendLoad(now, message.TypeBeat, name, s)
+	a.sendLoad(now, message.TypeBeat, 0, name, s)
 }
 
-func (a *Agent) sendLoad(now clock.Millis, kind message.Type, name string, s *entryLink) {
+func (a *Agent) sendLoad(now clock.Millis, kind message.Type, number uint64, name string, s *entryLink) {
 	load := a.table.Load(name)
 	load.Stamp = now
 	s.told = now
 	// A link that cannot take the frame closes itself.
-	_ = s.link.Send(kind, 0, load)
+	_ = s.link.Send(kind, number, load)
 }
 
 func (a *Agent) expire() {
@@ -256,7 +280,7 @@
 			a.halt(v.Key)
 		case slot.Tell:
 			if s := a.links[v.Entry]; s != nil {
-				a.sendLoad(a.cfg.Clock.Now(), message.TypeOffer, v.Entry, s)
+				a.sendLoad(a.cfg.Clock.Now(), message.TypeOffer, 0, v.Entry, s)
 			}
 		case slot.Reply:
 			a.replied(v)
@@ -316,6 +340,9 @@
 		do = a.cfg.Backend.Call
 	}
 	res, err := do(ctx, w)
+	if n := len(res.Data) + len(res.Failure); n > message.MaxData {
+		return message.StatusFailed, nil, fmt.Sprintf("result of %d bytes is larger than %d bytes", n, message.MaxData), true
+	}
 	switch {
 	case err != nil:
 		return message.StatusFailed, nil, err.Error(), false
--- a/agent/link.go
+++ b/agent/link.go
@@ -23,6 +23,8 @@
 	// renewed is the time of the last renew, and started that of the last start. Both renew the leases of the entry.
 	renewed clock.Millis
 	started clock.Millis
+	// answered is the highest number of a heartbeat that was answered. Only the last heartbeat before a stop has one.
+	answered uint64
 }
 
 // due tells whether a heartbeat is due. An entry that prefers this agent needs a stamp every second. One that uses it
@@ -138,13 +140,14 @@
 		if err := f.DecodeBody(&r); err != nil {
 			return nil, err
 		}
-		a.renew(now, entry, r)
+		a.renew(now, entry, f.Number, r)
 	}
 	return nil, nil
 }
 
-func (a *Agent) renew(now clock.Millis, entry string, r message.Renew) {
+func (a *Agent) renew(now clock.Millis, entry string, number uint64, r message.Renew) {
 	s := a.links[entry]
+	s.answered = max(s.answered, number)
 	if r.Incarnation != "" {
 		s.incarnation = lavendercourse.Incarnation(r.Incarnation)
 	}
@@ -198,6 +201,10 @@
 		a.entries[w.Name] = l.RemoteAddr().String()
 	}
 	event.EntryJoined.On(a.cfg.Logger).Str("entry", w.Name).Send()
+	if a.leaving {
+		// The link was dialed before the agent was told to stop.
+		_ = l.Send(message.TypeLeave, 0, message.Leave{})
+	}
 	a.greet(l)
 	a.beatOn(now, w.Name, s)
 	return nil
--- /dev/null
+++ b/agent/stop_test.go
@@ -0,0 +1,91 @@
+package agent_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/agent"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/link"
+	"github.com/lavendercourse/lavendercourse/message"
+)
+
+// slowEntry is an entry that reads the leave of an agent late and has sent a start by then.
+type slowEntry struct {
+	mu    sync.Mutex
+	agent string
+	beats int
+	done  []message.Done
+}
+
+func (e *slowEntry) Frame(l *link.Link, f message.Frame) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch f.Type {
+	case message.TypeHello:
+		var h message.Hello
+		err := f.DecodeBody(&h)
+		e.agent = h.Incarnation
+		return errors.Join(err, l.Send(message.TypeWelcome, 0, message.Welcome{Name: "e1", Incarnation: "inc"}))
+	case message.TypeBeat:
+		e.beats++
+		return l.Send(message.TypeRenew, f.Number, message.Renew{Incarnation: "inc"})
+	case message.TypeLeave:
+		time.Sleep(200 * time.Millisecond)
+		id := lavendercourse.NewJobID("inc", 0, "tag").String()
+		return l.Send(message.TypeStart, 0, message.Start{Job: id, Attempt: 1, Agent: e.agent, Kind: "sleep"})
+	case message.TypeDone:
+		var d message.Done
+		err := f.DecodeBody(&d)
+		e.done = append(e.done, d)
+		return err
+	}
+	return nil
+}
+
+func (e *slowEntry) Closed(*link.Link) {}
+
+// answering is a backend server that answers polls and is given no work.
+type answering struct{ lavendercourse.Backend }
+
+func (answering) Ping(context.Context) error { return nil }
+
+// Guards against an agent that closes its links while a start is on its way to it. The entry would never learn that the
+// task did not run, and would fail the job.
+func TestStopAnswersStartsOnTheirWay(t *testing.T) {
+	e := &slowEntry{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = link.Accept(w, req, link.Config{Handler: e})
+	}))
+	defer server.Close()
+	a, err := agent.New(agent.Config{
+		Name: "w1", Entries: []string{strings.TrimPrefix(server.URL, "http://")},
+		Backend: answering{}, Clock: clock.NewSystem(),
+	})
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.beats > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no heartbeat yet")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	assert.NilError(t, a.Stop(ctx))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	assert.Equal(t, len(e.done), 1)
+	assert.Equal(t, e.done[0].Status, message.StatusRefused)
+}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -25,6 +26,8 @@
 	ErrInvalid = eris.New("request is invalid")
 	// ErrUnreachable is returned when no entry answered. For a job, ask again with the same id.
 	ErrUnreachable = eris.New("no entry answered")
+	// ErrRefused is returned when an entry issued no job id. Nothing was run.
+	ErrRefused = eris.New("entry issued no job id")
 )
 
 // Defaults of Config.
@@ -53,6 +56,8 @@
 	HTTP *http.Client
 	// Tracer may be set to trace requests.
 	Tracer *telemetry.Tracer
+	// Issued is called by Submit with the id that it reserved for a request, before the request is sent.
+	Issued func(id string)
 }
 
 // Client submits jobs and calls. It is safe for use by several goroutines.
@@ -136,6 +141,7 @@
 	defer span.End()
 	l := c.laneOf(req.GetId())
 	reserved := req.GetId() == ""
+	var refused *dispatchv1.SubmitResponse
 	for first := true; ; first = false {
 		if req.GetId() == "" {
 			id, by, err := c.reserve(ctx, l)
@@ -143,20 +149,26 @@
 				return nil, err
 			}
 			req.Id, l, first = id, by, true
+			if c.cfg.Issued != nil {
+				c.cfg.Issued(id)
+			}
 		}
 		resp, err := l.dispatch.Submit(ctx, connect.NewRequest(req))
 		switch v := verdictOf(resp, err); {
 		case err != nil && connect.CodeOf(err) == connect.CodeInvalidArgument:
-			return nil, eris.Wrapf(ErrInvalid, "%v", err)
+			return nil, translate(err)
 		case reserved && (isTurnedAway(v) || (first && isUnused(v))):
 			l.drop()
-			req.Id = ""
+			req.Id, refused = "", resp.Msg
 		case err == nil && !isOpen(v):
 			return resp.Msg, nil
 		}
 		l = c.lane()
 		select {
 		case <-ctx.Done():
+			if req.GetId() == "" && isTurnedAway(refused.GetVerdict()) {
+				return refused, nil
+			}
 			return nil, eris.Wrapf(ErrUnreachable, "job %s: %v", req.GetId(), ctx.Err())
 		case <-time.After(c.cfg.Pause.Duration()):
 		}
@@ -222,7 +234,16 @@
 
 func translate(err error) error {
 	if connect.CodeOf(err) == connect.CodeInvalidArgument {
-		return eris.Wrapf(ErrInvalid, "%v", err)
+		return eris.Wrap(ErrInvalid, messageOf(err))
 	}
 	return eris.Wrapf(ErrUnreachable, "%v", err)
 }
+
+// messageOf returns what the entry said, without the code of the protocol.
+func messageOf(err error) string {
+	var e *connect.Error
+	if errors.As(err, &e) {
+		return e.Message()
+	}
+	return err.Error()
+}
--- a/caller/lane.go
+++ b/caller/lane.go
@@ -62,6 +62,9 @@
 func (l *lane) fetch(ctx context.Context) error {
 	asked := time.Now()
 	resp, err := l.dispatch.Reserve(ctx, connect.NewRequest(&dispatchv1.ReserveRequest{Count: uint32(l.block)}))
+	if err != nil && connect.IsWireError(err) {
+		return eris.Wrap(ErrRefused, messageOf(err))
+	}
 	if err != nil {
 		return translate(err)
 	}
--- a/entry/core.go
+++ b/entry/core.go
@@ -287,7 +287,7 @@
 			continue
 		}
 		a.nudged = now
-		c.renew(a, true)
+		c.renew(a, 0, true)
 	}
 }
 
@@ -535,8 +535,8 @@
 	}
 }
 
-// renew answers a heartbeat, or asks for one.
-func (c *core) renew(a *agentLink, nudge bool) {
+// renew answers the heartbeat with the given number, or asks for one.
+func (c *core) renew(a *agentLink, number uint64, nudge bool) {
 	r := message.Renew{Version: c.gate, Backlog: c.tasks.Waiting(), Home: a.home, Now: nudge}
 	if inc := c.jobs.Incarnation(); a.incarnation != inc {
 		a.incarnation = inc
@@ -546,7 +546,7 @@
 		a.told = c.listed
 		r.Peers = c.peersList()
 	}
-	if err := a.link.Send(message.TypeRenew, 0, r); err != nil {
+	if err := a.link.Send(message.TypeRenew, number, r); err != nil {
 		a.link.Close()
 	}
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -174,7 +174,7 @@
 		if err := f.DecodeBody(&load); err != nil {
 			return err
 		}
-		r.beat(name, a, f.Type, load)
+		r.beat(name, a, f, load)
 	case message.TypeDone:
 		var d message.Done
 		if err := f.DecodeBody(&d); err != nil {
@@ -189,12 +189,12 @@
 }
 
 // beat handles a heartbeat, which is answered, or an offer of a free slot, which a start answers if there is one.
-func (r *router) beat(name string, a *agentLink, kind message.Type, load message.Load) {
+func (r *router) beat(name string, a *agentLink, f message.Frame, load message.Load) {
 	now := r.clock.Now()
 	a.stamp(now, load.Stamp)
 	r.fleet.Report(now, name, load)
-	if kind == message.TypeBeat {
-		r.renew(a, false)
+	if f.Type == message.TypeBeat {
+		r.renew(a, f.Number, false)
 	}
 	r.pump(now)
 }
