Complete a configuration only from a state without a gap

The records between were never applied there, so two readers at the same offset held different settings. When the log had dropped everything, the offset stayed behind the end of the log, and an entry that reads up to the end did so without a pause. Ruled out: the replay of held records and the order of publish ids, which agree with the model once the gap is seen.

--- a/config/state.go
+++ b/config/state.go
@@ -26,6 +26,8 @@
 	history  []Setting
 	// held keeps records that cannot be applied before a snapshot was read.
 	held []lavendercourse.Record
+	// from is the offset from which on no record was missed.
+	from uint64
 	// snapshot is the offset of the newest snapshot record.
 	snapshot uint64
 	bad      int
@@ -86,7 +88,8 @@
 func (s *State) Apply(page lavendercourse.Page) {
 	if page.First > s.offset+1 {
 		// The log has dropped records that were not applied.
-		s.based = false
+		s.based, s.held = false, nil
+		s.offset, s.from = page.First-1, page.First
 	} else if s.offset == 0 {
 		s.based = true
 	}
@@ -98,12 +101,10 @@
 	}
 }
 
-// Adopt takes over the state of a peer if its version is higher. It returns false if it is not.
+// Adopt takes over the state of a peer if its version is higher, or if this state is not complete. It returns false if
+// the peer's state is older, or lacks records that were missed here.
 func (s *State) Adopt(snap Snapshot) bool {
-	if snap.Version <= s.version && s.based {
-		return false
-	}
-	if snap.Version < s.version {
+	if (s.based && snap.Version <= s.version) || !s.completes(snap) {
 		return false
 	}
 	s.load(snap)
@@ -143,7 +144,7 @@
 
 // applySnapshot completes a state that has missed records. A complete state has all that a snapshot holds.
 func (s *State) applySnapshot(snap Snapshot) {
-	if s.based || snap.Version < s.version {
+	if s.based || !s.completes(snap) {
 		return
 	}
 	s.load(snap)
@@ -151,6 +152,11 @@
 	s.replay(snap.Offset)
 }
 
+// completes tells whether a snapshot and the held records together are a complete state.
+func (s *State) completes(snap Snapshot) bool {
+	return snap.Version >= s.version && snap.Offset+1 >= s.from
+}
+
 // replay applies the held records that are newer than the given offset.
 func (s *State) replay(after uint64) {
 	held := s.held
