End a lease that lapsed unnoticed and ignore stale sightings

Cause: an entry looked at its lease only after it had counted a new acknowledgement. After a pause of more than 10 s the first pulse could be acknowledged before the lapse was seen, so the incarnation that others had declared gone went on and could answer complete. Acknowledgements of the old incarnation also counted for the new one, which nobody had heard of. A verdict could add up sightings that were minutes apart, at each of which the owner held its lease through another majority. Ruled out: clock offsets, repeated and lost messages, restarts, and lists that differ by one change. Lapsed now decides when an entry takes a new incarnation, and Gone takes the time at which the sightings were asked for.

--- a/entry/core.go
+++ b/entry/core.go
@@ -132,15 +132,15 @@
 
 // refresh works out what depends on the list, the acknowledgements and the configuration.
 func (c *core) refresh(now clock.Millis) {
+	lapsed := c.quorum.Lapsed(now, c.names)
 	c.leaseStart = c.quorum.LeaseStart(now, c.names)
 	if c.state.Based() {
 		c.confirmed = c.quorum.Confirmed(now, c.names, c.state.Version())
 	}
-	held := now-c.leaseStart <= c.quorumLease()
-	if c.held && !held {
+	if lapsed {
 		c.endIncarnation(now)
 	}
-	c.held = held
+	c.held = c.quorum.Held(now, c.names)
 	parked := !c.state.Based() || now-c.confirmed > c.freshFor()
 	if parked != c.parked {
 		c.parked = parked
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -233,7 +233,8 @@
 	defer cancel()
 	x.mu.Lock()
 	list := append([]string(nil), x.names...)
-	sightings := map[string]member.Sighting{x.cfg.Name: x.quorum.Sighting(x.clock.Now(), inc)}
+	asked := x.clock.Now()
+	sightings := map[string]member.Sighting{x.cfg.Name: x.quorum.Sighting(asked, inc)}
 	_, known = x.list.Owner(inc)
 	links := map[string]*link.Link{}
 	for name, l := range x.peers {
@@ -263,5 +264,5 @@
 	for _, s := range sightings {
 		known = known || s.Known
 	}
-	return x.quorum.Gone(list, sightings), known
+	return x.quorum.Gone(x.clock.Now(), asked, list, sightings), known
 }
--- a/member/quorum.go
+++ b/member/quorum.go
@@ -43,6 +43,11 @@
 	// log is the time at which the last read began that showed the configuration to be current.
 	log clock.Millis
 	up  clock.Millis
+	// held and until are the lease as last worked out by Lapsed.
+	held  bool
+	until clock.Millis
+	// since is the time of the last lapse. Pulses sent until then named an earlier incarnation.
+	since clock.Millis
 }
 
 // NewQuorum returns a quorum in which nothing was heard yet.
@@ -64,7 +69,7 @@
 
 // Acknowledged takes note of an answer to the pulse sent at stamp.
 func (q *Quorum) Acknowledged(name string, stamp clock.Millis, version uint64) {
-	if old, ok := q.acks[name]; ok && old.stamp >= stamp {
+	if old, ok := q.acks[name]; stamp <= q.since || (ok && old.stamp >= stamp) {
 		return
 	}
 	q.acks[name] = acknowledged{stamp: stamp, version: version}
@@ -88,9 +93,30 @@
 
 // Held tells whether this entry may answer for its jobs.
 func (q *Quorum) Held(now clock.Millis, list []string) bool {
-	return now-q.LeaseStart(now, list) <= q.cfg.Lease
+	return !q.ended(now) && now-q.LeaseStart(now, list) <= q.cfg.Lease
+}
+
+// Lapsed tells whether the lease has ended since the last call; the entry must then take a new incarnation. It is to be
+// called after each acknowledgement, each change of the list, and before each answer. A lease that ended has lapsed even
+// if new acknowledgements have come since, because others may have declared the incarnation gone in between. The
+// acknowledgements of the old incarnation do not count for the new one, which nobody has heard of yet.
+func (q *Quorum) Lapsed(now clock.Millis, list []string) bool {
+	before := q.held
+	start := q.LeaseStart(now, list)
+	q.held = !q.ended(now) && now-start <= q.cfg.Lease
+	if q.held {
+		q.until = start + q.cfg.Lease
+	}
+	lapsed := before && !q.held
+	if lapsed {
+		clear(q.acks)
+		q.since = now
+	}
+	return lapsed
 }
 
+func (q *Quorum) ended(now clock.Millis) bool { return q.held && now > q.until }
+
 // LeaseStart returns the latest time such that a majority of the list has acknowledged a pulse sent then or later.
 func (q *Quorum) LeaseStart(now clock.Millis, list []string) clock.Millis {
 	return q.majority(now, list, func(acknowledged) bool { return true })
@@ -146,8 +172,12 @@
 }
 
 // Gone tells whether the sightings of a majority of the list show that an incarnation has ended. An entry that was
-// started too recently cannot tell.
-func (q *Quorum) Gone(list []string, sightings map[string]Sighting) bool {
+// started too recently cannot tell. Sightings that were asked for too long ago tell nothing: each of them may be older
+// than a renewal that the others have not seen.
+func (q *Quorum) Gone(now, asked clock.Millis, list []string, sightings map[string]Sighting) bool {
+	if now-asked > q.cfg.Gone-q.cfg.Lease {
+		return false
+	}
 	n := 0
 	for _, name := range list {
 		s, ok := sightings[name]
