Share scarce slots by weight and forget idle teams

Cause: teams were ordered by their running tasks alone, and a tie was decided by the order of a map. Where fewer slots are free than teams compete, all teams are mostly tied at zero, so weights had no effect on who was first and the same events gave different orders. The queue also kept every team name that a caller ever used. Ruled out: classes, aging, remaining work and the quota share.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -71,10 +71,13 @@
 }
 
 type team struct {
+	name    string
 	limits  Limits
 	items   []*Item
 	waiting int
 	running int
+	// pass grows by 1/weight with each task that was sent.
+	pass float64
 }
 
 // Queue holds the waiting jobs of all teams.
@@ -83,6 +86,8 @@
 	teams   map[string]*team
 	items   map[lavendercourse.JobID]*Item
 	waiting int
+	// pass is that of the team served last. A team that joins starts from there.
+	pass float64
 }
 
 // New returns an empty queue.
@@ -115,6 +120,9 @@
 // Push adds a job.
 func (q *Queue) Push(i *Item) {
 	t := q.team(i.team)
+	if t.waiting+t.running == 0 {
+		t.pass = max(t.pass, q.pass)
+	}
 	t.items = append(t.items, i)
 	t.waiting += i.waiting
 	q.waiting += i.waiting
@@ -130,7 +138,7 @@
 			continue
 		}
 		class := q.teamClass(now, t)
-		if best == nil || class < bestClass || (class == bestClass && t.lag() < best.lag()) {
+		if best == nil || class < bestClass || (class == bestClass && t.before(best)) {
 			best, bestClass = t, class
 		}
 	}
@@ -147,6 +155,8 @@
 	t.waiting--
 	q.waiting--
 	t.running++
+	q.pass = t.pass
+	t.pass += 1 / t.weight()
 	if i.waiting == 0 {
 		q.drop(t, i)
 	}
@@ -167,7 +177,9 @@
 
 // Freed counts one sent task of a team as ended.
 func (q *Queue) Freed(name string) {
-	q.team(name).running--
+	t := q.team(name)
+	t.running--
+	q.forget(name, t)
 }
 
 // Remove takes a job's waiting tasks out.
@@ -181,11 +193,15 @@
 	q.waiting -= i.waiting
 	i.waiting = 0
 	q.drop(t, i)
+	q.forget(i.team, t)
 }
 
 // Waiting returns the number of waiting tasks.
 func (q *Queue) Waiting() int { return q.waiting }
 
+// Teams returns the number of teams in memory.
+func (q *Queue) Teams() int { return len(q.teams) }
+
 // Demand returns for each team the number of tasks that wait or run.
 func (q *Queue) Demand() map[string]int {
 	demand := map[string]int{}
@@ -200,17 +216,35 @@
 func (q *Queue) team(name string) *team {
 	t := q.teams[name]
 	if t == nil {
-		t = &team{limits: Limits{Weight: DefaultWeight}}
+		t = &team{name: name, limits: Limits{Weight: DefaultWeight}}
 		q.teams[name] = t
 	}
 	return t
 }
 
-// lag is the number of running tasks by weight. The team with the lowest goes next.
-func (t *team) lag() float64 {
-	return float64(t.running) / float64(max(t.limits.Weight, 1))
+// forget drops a team without work and without limits of its own. Callers choose the names of teams freely.
+func (q *Queue) forget(name string, t *team) {
+	if t.waiting+t.running == 0 && t.limits == (Limits{Weight: DefaultWeight}) {
+		delete(q.teams, name)
+	}
+}
+
+// before tells whether a team goes before another one: the one with fewer running tasks by weight, then the one that was
+// served less. Without the second rule, a team could starve where fewer slots are free than teams compete.
+func (t *team) before(other *team) bool {
+	if x, y := t.lag(), other.lag(); x != y {
+		return x < y
+	}
+	if t.pass != other.pass {
+		return t.pass < other.pass
+	}
+	return t.name < other.name
 }
 
+func (t *team) lag() float64 { return float64(t.running) / t.weight() }
+
+func (t *team) weight() float64 { return float64(max(t.limits.Weight, 1)) }
+
 func (q *Queue) teamClass(now clock.Millis, t *team) lavendercourse.Class {
 	best := lavendercourse.Batch
 	for _, i := range t.items {
