Give every entry its even share of homes

Cause: an entry could take as many homes as the even share rounded up, until nothing was left for the last entries. Before: TestHomesAreBalanced reports "e0 0 is the home of 0 of 4 agents with 3 entries". After: every entry has the even share rounded up or down in 100 random fleets.

--- a/placement/home.go
+++ b/placement/home.go
@@ -20,22 +20,26 @@
 	return ranked
 }
 
-// Homes assigns each agent to one entry. No entry gets more than its even share, rounded up, so that small fleets are
+// Homes assigns each agent to one entry. Every entry gets its even share, rounded up or down, so that small fleets are
 // balanced too.
 func Homes(agents, entries []string) map[string]string {
 	homes := make(map[string]string, len(agents))
 	if len(entries) == 0 {
 		return homes
 	}
-	share := (len(agents) + len(entries) - 1) / len(entries)
+	share, rest := len(agents)/len(entries), len(agents)%len(entries)
 	count := map[string]int{}
 	for _, agent := range agents {
 		for _, entry := range Rank(agent, entries) {
-			if count[entry] < share {
-				homes[agent] = entry
-				count[entry]++
-				break
+			if count[entry] > share || (count[entry] == share && rest == 0) {
+				continue
 			}
+			if count[entry] == share {
+				rest--
+			}
+			homes[agent] = entry
+			count[entry]++
+			break
 		}
 	}
 	return homes
