Eject a third of the workers at most, and judge only trials after it

Cause: when more than a third of the workers had failed, all ejected ones got tasks again like new ones, so that none was ejected. Tasks that were sent before an ejection and failed after it each doubled the pause before the first trial, to 8 s for a worker with 8 slots, and one that ended well lifted the ejection without a trial. Ruled out: refusals and stops, which do not count. Now a worker is not ejected while a third already is; it keeps the window of a new worker instead. Before: TestAtMostAThirdIsEjected reports 3 usable workers where 2 of 3 fail, and TestPickScenarios no trial task after 1 s for a worker on which 8 tasks failed. After: both pass.

--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -176,14 +176,15 @@
 	if a == nil {
 		return false
 	}
-	if _, ok := a.sent[at]; !ok {
+	sent, ok := a.sent[at]
+	if !ok {
 		return false
 	}
 	delete(a.sent, at)
 	if call {
 		a.calls--
 	}
-	a.health.ended(now, status)
+	a.health.ended(now, sent, status, f.ejectable() > 0)
 	return true
 }
 
--- a/placement/health.go
+++ b/placement/health.go
@@ -22,7 +22,9 @@
 	failures int
 	ejected  bool
 	until    clock.Millis
-	pause    clock.Millis
+	// since is the time of the last ejection or failed trial.
+	since clock.Millis
+	pause clock.Millis
 }
 
 func newHealth(now clock.Millis) health {
@@ -41,8 +43,12 @@
 	}
 }
 
-// ended takes note of the end of a task. A refusal or a stop says nothing about the worker.
-func (h *health) ended(now clock.Millis, status message.Status) {
+// ended takes note of the end of a task that was sent at the given time. A refusal or a stop says nothing about the
+// worker, nor do tasks that were sent before the worker was ejected. Room tells whether one more worker may be ejected.
+func (h *health) ended(now, sent clock.Millis, status message.Status, room bool) {
+	if h.ejected && sent <= h.since {
+		return
+	}
 	switch status {
 	case message.StatusDone:
 		h.failures, h.pause = 0, 0
@@ -56,14 +62,18 @@
 		if h.failures < failureLimit && !h.ejected {
 			return
 		}
-		h.ejected = true
+		if !h.ejected && !room {
+			h.window = firstWindow
+			return
+		}
+		h.ejected, h.since = true, now
 		h.pause = min(max(h.pause*2, firstPause), longestPause)
 		h.until = now + h.pause
 	}
 }
 
 // open tells whether the worker may get one more task. An ejected worker gets single trial tasks; if too many workers
-// are ejected, it is treated like a new one.
+// are ejected, because others have left, it is treated like a new one.
 func (h *health) open(now clock.Millis, sent, ejectable int) bool {
 	if !h.ejected {
 		return sent < h.window
