Let a restarted entry vouch for no configuration it may have forgotten

Cause: an entry that restarted while the log was down acknowledged with a version that it had before it adopted newer ones, or with none. Together with an entry that had missed the change, it confirmed the old version as current, so tasks could start in a failure domain that a majority knew to be drained. Ruled out: repeated, lost and reordered acknowledgements, and clock offsets. An acknowledgement now tells whether its sender was confirmed since its start, by the log or by a majority without itself, and only such ones confirm a configuration. The price: if so many entries restart while the log is down that no majority is left, queues park until the log is back. Before: TestFreshnessIsNeverFalse with restarts reports "e0 is fresh with version 0 as of 100030; version 1 was adopted at 100000" in the first history. After: no report within 20,000 histories.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -90,6 +90,7 @@
 	x.list.Observe(name, inc)
 	return l.Send(message.TypeAck, 0, message.Ack{
 		Stamp: p.Stamp, Incarnation: string(x.jobs.Incarnation()), Version: x.state.Version(),
+		Vouched: x.quorum.Settled(),
 	})
 }
 
@@ -104,7 +105,7 @@
 	inc := lavendercourse.Incarnation(a.Incarnation)
 	x.quorum.Heard(now, inc)
 	x.list.Observe(name, inc)
-	x.quorum.Acknowledged(name, a.Stamp, a.Version)
+	x.quorum.Acknowledged(name, a.Stamp, a.Version, a.Vouched)
 	x.refresh(now)
 	x.pump(now)
 	return nil
--- a/member/quorum.go
+++ b/member/quorum.go
@@ -31,6 +31,7 @@
 	// stamp is the time at which the acknowledged pulse was sent, by the clock of this entry.
 	stamp   clock.Millis
 	version uint64
+	vouched bool
 }
 
 // Quorum is what an entry knows of the other entries by their acknowledgements.
@@ -38,7 +39,7 @@
 	cfg   Config
 	acks  map[string]acknowledged
 	heard map[lavendercourse.Incarnation]clock.Millis
-	// versions holds the highest configuration version that each entry has told.
+	// versions holds the configuration version that each entry has told last. It falls when an entry restarts.
 	versions map[string]uint64
 	// log is the time at which the last read began that showed the configuration to be current.
 	log clock.Millis
@@ -46,6 +47,8 @@
 	// held and until are the lease as last worked out by Lapsed.
 	held  bool
 	until clock.Millis
+	// settled tells whether this entry can vouch for its configuration version, see Settled.
+	settled bool
 	// since is the time of the last lapse. Pulses sent until then named an earlier incarnation.
 	since clock.Millis
 }
@@ -67,18 +70,18 @@
 	}
 }
 
-// Acknowledged takes note of an answer to the pulse sent at stamp.
-func (q *Quorum) Acknowledged(name string, stamp clock.Millis, version uint64) {
+// Acknowledged takes note of an answer to the pulse sent at stamp. Vouched tells whether the other entry was settled.
+func (q *Quorum) Acknowledged(name string, stamp clock.Millis, version uint64, vouched bool) {
 	if old, ok := q.acks[name]; stamp <= q.since || (ok && old.stamp >= stamp) {
 		return
 	}
-	q.acks[name] = acknowledged{stamp: stamp, version: version}
+	q.acks[name] = acknowledged{stamp: stamp, version: version, vouched: vouched}
 	q.Told(name, version)
 }
 
 // Told takes note of the configuration version of another entry.
 func (q *Quorum) Told(name string, version uint64) {
-	q.versions[name] = max(q.versions[name], version)
+	q.versions[name] = version
 }
 
 // Heard takes note of a sign of life of an incarnation.
@@ -89,8 +92,14 @@
 // ReadLog takes note that a read of the log that began at the given time showed the configuration to be current.
 func (q *Quorum) ReadLog(began clock.Millis) {
 	q.log = max(q.log, began)
+	q.settled = true
 }
 
+// Settled tells whether the configuration of this entry was confirmed since it started, by the log or by a majority that
+// does not include itself. Until then it may have forgotten a version that it had adopted before a restart, so that its
+// word that it knows of no newer one means nothing.
+func (q *Quorum) Settled() bool { return q.settled }
+
 // Held tells whether this entry may answer for its jobs.
 func (q *Quorum) Held(now clock.Millis, list []string) bool {
 	return !q.ended(now) && now-q.LeaseStart(now, list) <= q.cfg.Lease
@@ -123,10 +132,18 @@
 }
 
 // Confirmed returns the latest time at which the given configuration version was known to be current: by a read of the
-// log, or because a majority of the list knew of no newer one.
+// log, or because a majority of the list knew of no newer one. Only entries that are settled count. The version must be
+// that of a complete configuration.
 func (q *Quorum) Confirmed(now clock.Millis, list []string, version uint64) clock.Millis {
-	byPeers := q.majority(now, list, func(a acknowledged) bool { return a.version <= version })
-	return max(q.log, byPeers)
+	vouches := func(a acknowledged) bool { return a.vouched && a.version <= version }
+	if !q.settled {
+		q.settled = q.majority(q.never(), list, vouches) > q.never()
+	}
+	self := now
+	if !q.settled {
+		self = q.never()
+	}
+	return max(q.log, q.majority(self, list, vouches))
 }
 
 // Fresh tells whether the confirmation of the given configuration version is young enough.
@@ -197,10 +214,13 @@
 	}
 }
 
+// never is a time that is too early for any bound.
+func (q *Quorum) never() clock.Millis { return -max(q.cfg.Lease, q.cfg.Fresh) - 1 }
+
 // majority returns the latest time such that more than half of the list has acknowledged then or later. This entry
-// always acknowledges itself.
-func (q *Quorum) majority(now clock.Millis, list []string, counts func(acknowledged) bool) clock.Millis {
-	never := -max(q.cfg.Lease, q.cfg.Fresh) - 1
+// itself counts with the given time.
+func (q *Quorum) majority(self clock.Millis, list []string, counts func(acknowledged) bool) clock.Millis {
+	never := q.never()
 	if len(list) == 0 {
 		return never
 	}
@@ -209,7 +229,7 @@
 		a, ok := q.acks[name]
 		switch {
 		case name == q.cfg.Name:
-			stamps = append(stamps, now)
+			stamps = append(stamps, self)
 		case ok && counts(a):
 			stamps = append(stamps, a.stamp)
 		default:
--- a/message/body.go
+++ b/message/body.go
@@ -162,6 +162,8 @@
 	Stamp       clock.Millis `cbor:"stamp"`
 	Incarnation string       `cbor:"incarnation"`
 	Version     uint64       `cbor:"version"`
+	// Vouched is false if the sender may have forgotten a newer version in a restart.
+	Vouched bool `cbor:"vouched,omitempty"`
 }
 
 // Forward carries a request to the entry that owns its job.
