Prove freshness with entries that restart

The broken variant that vouches right after a restart is caught in history 2: "e1 is fresh with version 0 as of 106990; version 1 was adopted at 101680".

--- a/member/quorum_test.go
+++ b/member/quorum_test.go
@@ -29,6 +29,8 @@
 	newborn variant = "start time ignored"
 	// echoing: an acknowledgement tells the version of the receiver.
 	echoing variant = "version of an acknowledgement ignored"
+	// amnesic: an entry vouches for its version right after a restart.
+	amnesic variant = "forgotten version vouched for"
 )
 
 // entry is one process. Its clock is offset from the time of the world.
@@ -75,9 +77,11 @@
 	cut    map[[2]string]bool
 	judged int
 	held   int
-	// adopted holds the time at which a majority had each version.
-	adopted []clock.Millis
-	err     error
+	fresh  int
+	// published is the newest version, and adopted holds the time at which a majority had each version.
+	published uint64
+	adopted   []clock.Millis
+	err       error
 }
 
 func newWorld(t *rapid.T, broken variant) *world {
@@ -164,13 +168,13 @@
 		}
 		w.send(e, to, func() {
 			to.quorum.Heard(w.time(to), inc)
-			acker, version := to.inc, to.version
+			acker, version, vouched := to.inc, to.version, to.quorum.Settled() || w.broken == amnesic
 			w.net = append(w.net, packet{to: e, life: life, do: func() {
 				e.quorum.Heard(w.time(e), acker)
 				if w.broken == echoing {
 					version = e.version
 				}
-				e.quorum.Acknowledged(to.name, stamp, version)
+				e.quorum.Acknowledged(to.name, stamp, version, vouched)
 				w.refresh(e)
 			}})
 		})
@@ -337,19 +341,22 @@
 }
 
 // overlap runs one random history of leases and verdicts.
-func overlap(t *rapid.T, broken variant) error {
+func overlap(t *rapid.T, broken variant) *world {
 	w := newWorld(t, broken)
 	for i := 0; i < 150 && w.err == nil; i++ {
 		w.step()
 		w.judge()
 	}
-	return w.err
+	return w
 }
 
-// freshness runs one random history of versions on a fixed list without the log.
-func freshness(t *rapid.T, broken variant) error {
+// freshness runs one random history of versions on a fixed list. The log is read once by all and is then down.
+func freshness(t *rapid.T, broken variant) *world {
 	w := newWorld(t, broken)
 	list := w.lists[0]
+	for _, e := range w.entries {
+		e.quorum.ReadLog(w.time(e))
+	}
 	for i := 0; i < 200 && w.err == nil; i++ {
 		e := w.entries[w.pick("entry", len(w.entries))]
 		switch kind := w.pick("step", 16); {
@@ -361,8 +368,10 @@
 			w.pulse(e)
 		case kind < 13:
 			w.now += clock.Millis(w.pick("ms", 32) * 30)
-		case kind < 15:
+		case kind < 14:
 			w.adopt(e, list)
+		case kind < 15:
+			w.forget(e)
 		default:
 			w.net = nil
 		}
@@ -370,29 +379,46 @@
 			w.checkFresh(e, list)
 		}
 	}
-	return w.err
+	return w
 }
 
-// adopt gives an entry the next version, and notes when a majority of the list has it.
+// adopt gives an entry a newer version, and notes when a majority of the list has it at once.
 func (w *world) adopt(e *entry, list []string) {
-	e.version++
-	n := 0
-	for _, other := range w.entries[:len(list)] {
-		if other.version >= uint64(len(w.adopted)) {
-			n++
-		}
+	if w.pick("publish", 3) == 0 {
+		w.published++
 	}
-	if n > len(list)/2 {
+	e.version += uint64(w.pick("versions", int(w.published-e.version)+1))
+	for v := uint64(len(w.adopted)); v <= w.published; v++ {
+		n := 0
+		for _, other := range w.entries[:len(list)] {
+			if other.version >= v {
+				n++
+			}
+		}
+		if n <= len(list)/2 {
+			return
+		}
 		w.adopted = append(w.adopted, w.now)
 	}
 }
 
+// forget restarts an entry sometimes. It loses its version.
+func (w *world) forget(e *entry) {
+	if w.pick("restart", 2) == 0 {
+		w.restart(e)
+		e.version = 0
+	}
+}
+
 func (w *world) checkFresh(e *entry, list []string) {
 	now := w.time(e)
 	if !e.quorum.Fresh(now, list, e.version) {
 		return
 	}
 	confirmed := e.quorum.Confirmed(now, list, e.version) - e.offset
+	if confirmed > 100*clock.Second {
+		w.fresh++
+	}
 	for v := e.version + 1; v < uint64(len(w.adopted)); v++ {
 		if w.adopted[v] < confirmed {
 			w.fail("%s is fresh with version %d as of %d; version %d was adopted at %d", e.name, e.version, confirmed, v, w.adopted[v])
@@ -405,7 +431,7 @@
 // log. Lists further apart are a known gap of the design page.
 func TestLeaseAndGoneNeverOverlap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		if err := overlap(t, ""); err != nil {
+		if err := overlap(t, "").err; err != nil {
 			t.Fatal(err)
 		}
 	})
@@ -414,7 +440,7 @@
 // Guards against an entry that places tasks under an old configuration although a majority has a newer one.
 func TestFreshnessIsNeverFalse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		if err := freshness(t, ""); err != nil {
+		if err := freshness(t, "").err; err != nil {
 			t.Fatal(err)
 		}
 	})
@@ -424,14 +450,14 @@
 func TestQuorumChecksCatchBrokenRules(t *testing.T) {
 	for broken, want := range map[variant]string{
 		eager: "declared gone", blind: "declared gone", minor: "declared gone",
-		newborn: "declared gone", echoing: "is fresh",
+		newborn: "declared gone", echoing: "is fresh", amnesic: "is fresh",
 	} {
 		t.Run(string(broken), func(t *testing.T) {
 			histories := rapid.Custom(func(t *rapid.T) string {
-				if broken == echoing {
-					return fmt.Sprint(freshness(t, broken))
+				if broken == echoing || broken == amnesic {
+					return fmt.Sprint(freshness(t, broken).err)
 				}
-				return fmt.Sprint(overlap(t, broken))
+				return fmt.Sprint(overlap(t, broken).err)
 			})
 			for seed := range 2000 {
 				if report := histories.Example(seed); strings.Contains(report, want) {
@@ -442,20 +468,16 @@
 			t.Fatal("no history shows the fault")
 		})
 	}
-	held, judged := 0, 0
+	held, judged, fresh := 0, 0, 0
 	for seed := range 20 {
 		rapid.Custom(func(t *rapid.T) bool {
-			w := newWorld(t, "")
-			for range 150 {
-				w.step()
-				w.judge()
-			}
-			held, judged = held+w.held, judged+w.judged
+			w := overlap(t, "")
+			held, judged, fresh = held+w.held, judged+w.judged, fresh+freshness(t, "").fresh
 			return true
 		}).Example(seed)
 	}
-	t.Logf("20 histories have %d looks at a lease that is held and %d verdicts", held, judged)
-	assert.Assert(t, held > 100 && judged > 100)
+	t.Logf("20 histories have %d looks at a held lease, %d verdicts and %d confirmations by peers", held, judged, fresh)
+	assert.Assert(t, held > 100 && judged > 100 && fresh > 100)
 }
 
 // Guards against a verdict by less than a majority, by entries that cannot tell, or by sightings so far apart that the
@@ -497,17 +519,17 @@
 	list := []string{"a", "b", "c"}
 	q := member.NewQuorum(at, member.Config{Name: "a"})
 	assert.Assert(t, !q.Lapsed(at, list) && !q.Held(at, list), "nothing was acknowledged")
-	q.Acknowledged("b", at, 0)
+	q.Acknowledged("b", at, 0, true)
 	assert.Assert(t, !q.Lapsed(at, list) && q.Held(at, list))
 	assert.Assert(t, q.Held(at+member.DefaultLease, list))
 	// The entry is paused; a pulse that it sends first thing is acknowledged before anything else happens.
 	late := at + 20*clock.Second
-	q.Acknowledged("b", late, 0)
+	q.Acknowledged("b", late, 0, true)
 	assert.Assert(t, !q.Held(late, list), "the lease ended in between")
 	assert.Assert(t, q.Lapsed(late, list))
 	assert.Assert(t, !q.Lapsed(late, list) && !q.Held(late, list), "the acknowledged pulse named the old incarnation")
-	q.Acknowledged("b", late, 0)
+	q.Acknowledged("b", late, 0, true)
 	assert.Assert(t, !q.Held(late, list), "a repeated acknowledgement of that pulse")
-	q.Acknowledged("b", late+1, 0)
+	q.Acknowledged("b", late+1, 0, true)
 	assert.Assert(t, !q.Lapsed(late+1, list) && q.Held(late+1, list))
 }
