--- a/proof/dispatch_test.go
+++ b/proof/dispatch_test.go
@@ -218,6 +218,7 @@
 		{lax, "stamp that is"},
 		{lax, "failure domain was drained"},
 		{blind, "failure domain was drained"},
+		{lenient, "without its owner"},
 		{moved, "second time"},
 		{overbooked, "tasks run on 2 slots"},
 		{overcalled, "run on 3 connections"},
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -51,6 +51,8 @@
 	hoarding variant = "agent never forgets"
 	// amnesic: an owner keeps an ended job for a shorter time than its id may be submitted.
 	amnesic variant = "id free again"
+	// lenient: an agent keeps the tasks of an owner that does not renew them.
+	lenient variant = "lease never ends"
 	// blind: an owner places tasks in drained failure domains.
 	blind variant = "drain ignored"
 )
@@ -96,6 +98,9 @@
 	order        []lavendercourse.TaskKey
 	calls        int
 	left         bool
+	halted       map[lavendercourse.TaskKey]bool
+	// renewed is the time at which each owner was heard last.
+	renewed map[lavendercourse.Incarnation]clock.Millis
 }
 
 type submission struct {
@@ -184,6 +189,7 @@
 	a.lives++
 	a.incarnation = lavendercourse.Incarnation(fmt.Sprintf("agent%dlife%d", a.index, a.lives))
 	a.table, a.running, a.order, a.calls, a.left = w.newSlots(a), map[lavendercourse.TaskKey]bool{}, nil, 0, false
+	a.halted, a.renewed = map[lavendercourse.TaskKey]bool{}, map[lavendercourse.Incarnation]clock.Millis{}
 	for _, o := range w.owners {
 		w.cut(o, a)
 	}
@@ -194,6 +200,8 @@
 	switch w.broken {
 	case lax:
 		cfg.Validity = clock.Minute
+	case lenient:
+		cfg.Lease = memory
 	case overbooked:
 		cfg.Slots++
 	case overcalled:
@@ -380,6 +388,8 @@
 	var actions []slot.Action
 	var err error
 	if s, ok := p.body.(message.Start); ok {
+		id, _ := lavendercourse.ParseJobID(s.Job)
+		a.renewed[id.Incarnation()] = now
 		actions, err = a.table.Start(now, name, s)
 	} else if p.incarnation == a.incarnation {
 		switch m := p.body.(type) {
@@ -388,6 +398,7 @@
 		case message.Resume:
 			actions, err = a.table.Resume(now, name, m.Tasks)
 		case message.Renew:
+			a.renewed[lavendercourse.Incarnation(m.Incarnation)] = now
 			a.table.Renew(now, name, m)
 		}
 	}
@@ -469,6 +480,7 @@
 			if _, ok := a.running[v.Key]; !ok {
 				w.fail("agent stops %s, which does not run", v.Key)
 			}
+			a.halted[v.Key] = true
 		case slot.Reply:
 			for _, o := range w.owners {
 				if o.name() == v.Entry {
@@ -536,6 +548,7 @@
 		}
 		if w.broken != hoarding {
 			w.perform(a, a.table.Expire(w.agentTime(a)))
+			w.checkLeases(a)
 		}
 	}
 	for _, o := range w.owners {
@@ -543,6 +556,16 @@
 	}
 }
 
+// checkLeases checks that what was not renewed for too long is being stopped.
+func (w *world) checkLeases(a *agent) {
+	for _, key := range a.order {
+		age := w.agentTime(a) - a.renewed[key.Job().Incarnation()]
+		if age > slot.DefaultLease && !a.halted[key] {
+			w.fail("%s is not stopped after %d ms without its owner", key, age)
+		}
+	}
+}
+
 func (w *world) tick(o *owner) {
 	if o.paused {
 		return
