Widen the histories of the proofs

Answers reach the job table without a filter on what is under way, packets are repeated more often, records without a publish id race with others, and every reader must reach the end of the log. Adopted and Newest have scenarios of their own.

--- a/config/state_test.go
+++ b/config/state_test.go
@@ -62,10 +62,14 @@
 	if _, seen := n.fates[rec.ID]; err != nil || rec.Snapshot != nil || seen {
 		return n
 	}
-	n.fates[rec.ID] = 0
+	if rec.ID != "" {
+		n.fates[rec.ID] = 0
+	}
 	if config.CheckSetting(rec.Key, rec.Value) == nil && (rec.Force || n.settings[rec.Key].Version == rec.Base) {
 		n.version++
-		n.fates[rec.ID] = n.version
+		if rec.ID != "" {
+			n.fates[rec.ID] = n.version
+		}
 		n.settings[rec.Key] = config.Setting{Key: rec.Key, Value: rec.Value, Version: n.version}
 	}
 	return n
@@ -139,6 +143,14 @@
 	}
 }
 
+// appendUnnamed appends a change without a publish id, which no reader can recognise.
+func (w *world) appendUnnamed() {
+	rec := config.Record{Key: keys[0], Value: values[keys[0]][w.pick("value", 2)], Force: true}
+	w.append(w.encode(rec))
+	fate := config.Publication{Version: w.models[len(w.models)-1].version}
+	w.ops = append(w.ops, porcupine.Operation{Input: rec, Output: fate, Call: int64(w.now), Return: int64(w.now)})
+}
+
 // fetch reads a page of the log, which is applied later.
 func (w *world) fetch(r *reader, limit int) {
 	page := lavendercourse.Page{First: w.first, Next: uint64(len(w.log) + 1)}
@@ -280,10 +292,13 @@
 	case 14:
 		w.first += uint64(w.pick("dropped", 1+len(w.log)+1-int(w.first)))
 	case 15:
-		if w.pick("join", 2) == 0 {
+		switch w.pick("odd", 3) {
+		case 0:
 			w.readers = append(w.readers, &reader{state: config.New()})
-		} else {
+		case 1:
 			w.append([]byte{0xff, byte(w.now)})
+		case 2:
+			w.appendUnnamed()
 		}
 	}
 }
@@ -300,6 +315,9 @@
 			for len(r.pages) > 0 {
 				w.apply(r)
 			}
+			if r.state.Offset() != uint64(len(w.log)) {
+				w.fail("a reader stays at offset %d of %d", r.state.Offset(), len(w.log))
+			}
 			if snap := r.state.Snapshot(); r.state.Based() && round == 0 {
 				w.append(w.encode(config.Record{Snapshot: &snap}))
 			}
--- a/member/quorum_test.go
+++ b/member/quorum_test.go
@@ -533,3 +533,19 @@
 	q.Acknowledged("b", late+1, 0, true)
 	assert.Assert(t, !q.Lapsed(late+1, list) && q.Held(late+1, list))
 }
+
+// Guards against a publisher that says "accepted" before a majority has the version, and one that counts what an entry
+// told before it restarted.
+func TestAdoptedScenarios(t *testing.T) {
+	list := []string{"a", "b", "c", "d"}
+	q := member.NewQuorum(0, member.Config{Name: "a"})
+	q.Told("b", 5)
+	assert.Assert(t, !q.Adopted(list, 5), "half of the list")
+	assert.Equal(t, q.Newest(list, 4), "b")
+	assert.Equal(t, q.Newest(list, 5), "")
+	q.Told("c", 6)
+	assert.Assert(t, q.Adopted(list, 5) && !q.Adopted(list, 6))
+	assert.Equal(t, q.Newest(list, 4), "c")
+	q.Told("c", 0)
+	assert.Assert(t, !q.Adopted(list, 5), "c has restarted")
+}
--- a/proof/dispatch_test.go
+++ b/proof/dispatch_test.go
@@ -120,10 +120,10 @@
 		return
 	}
 	fate := w.pick("fate", 8)
-	if fate != 0 {
+	if fate > 1 {
 		w.net = append(w.net[:i], w.net[i+1:]...)
 	}
-	if fate != 1 {
+	if fate != 2 {
 		w.deliver(p)
 	}
 }
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -178,7 +178,7 @@
 	o.lives++
 	cfg := job.Config{
 		Incarnation: lavendercourse.Incarnation(fmt.Sprintf("owner%dlife%d", o.index, o.lives)),
-		Reserve:     keep, Lifetime: lifetime, Keep: keep, Bytes: 200,
+		Reserve:     keep, Lifetime: lifetime, Keep: keep / 2, Bytes: 200,
 	}
 	o.table, o.live, o.flights, o.drained = job.New(cfg), nil, map[placement.Attempt]int{}, map[int]bool{}
 	w.confirm(o)
@@ -376,10 +376,7 @@
 			w.fail("done with job id %q", m.Job)
 			return
 		}
-		at := placement.Attempt{Key: lavendercourse.NewTaskKey(id, m.Task), Attempt: m.Attempt}
-		if index, ok := o.flights[at]; ok && index == a.index {
-			w.landed(o, a, at, m)
-		}
+		w.landed(o, a, placement.Attempt{Key: lavendercourse.NewTaskKey(id, m.Task), Attempt: m.Attempt}, m)
 	}
 }
 
@@ -412,7 +409,9 @@
 }
 
 func (w *world) landed(o *owner, a *agent, at placement.Attempt, d message.Done) {
-	delete(o.flights, at)
+	if index, ok := o.flights[at]; ok && index == a.index {
+		delete(o.flights, at)
+	}
 	now, name := w.ownerTime(o), a.name()
 	switch {
 	case d.Status == message.StatusRefused:
