--- a/config/state_test.go
+++ b/config/state_test.go
@@ -435,3 +435,16 @@
 	history[1].Call = 1
 	assert.Assert(t, porcupine.CheckOperations(register, history))
 }
+
+// Guards against a reader of an emptied stream that never reaches its end, or that takes itself for complete.
+func TestEmptiedStream(t *testing.T) {
+	s := config.New()
+	s.Apply(lavendercourse.Page{First: 5, Next: 5})
+	assert.Equal(t, s.Offset(), uint64(4))
+	assert.Assert(t, !s.Based())
+	assert.Assert(t, !s.Adopt(config.Snapshot{Version: 1, Offset: 3}), "record 4 is missing")
+	assert.Assert(t, s.Adopt(config.Snapshot{Version: 1, Offset: 4}))
+	assert.Assert(t, s.Based())
+	s.Apply(lavendercourse.Page{First: 5, Next: 5})
+	assert.Assert(t, s.Based(), "nothing was missed")
+}
