--- a/admission/queue.go
+++ b/admission/queue.go
@@ -71,10 +71,13 @@
 }
 
 type team struct {
+	name    string
 	limits  Limits
 	items   []*Item
 	waiting int
 	running int
+	// pass grows by 1/weight with each task that was sent.
+	pass float64
 }
 
 // Queue holds the waiting jobs of all teams.
@@ -83,6 +86,8 @@
 	teams   map[string]*team
 	items   map[lavendercourse.JobID]*Item
 	waiting int
+	// pass is that of the team served last. A team that joins starts from there.
+	pass float64
 }
 
 // New returns an empty queue.
@@ -96,24 +101,6 @@
 	return &Queue{cfg: cfg, teams: map[string]*team{}, items: map[lavendercourse.JobID]*Item{}}
 }
 
-// Teams returns the names of the teams that have work or limits here.
-func (q *Queue) Teams() []string {
-	names := make([]string, 0, len(q.teams))
-	for name := range q.teams {
-		names = append(names, name)
-	}
-	return names
-}
-
-// Forget drops the teams that have neither work nor limits, since callers choose their names.
-func (q *Queue) Forget() {
-	for name, t := range q.teams {
-		if t.waiting == 0 && t.running == 0 && t.limits == (Limits{Weight: DefaultWeight}) {
-			delete(q.teams, name)
-		}
-	}
-}
-
 // SetLimits sets the limits of a team.
 func (q *Queue) SetLimits(name string, l Limits) {
 	q.team(name).limits = l
@@ -148,6 +135,9 @@
 // Push adds a job.
 func (q *Queue) Push(i *Item) {
 	t := q.team(i.team)
+	if t.waiting+t.running == 0 {
+		t.pass = max(t.pass, q.pass)
+	}
 	t.items = append(t.items, i)
 	t.waiting += i.waiting
 	q.waiting += i.waiting
@@ -166,7 +156,7 @@
 		if !ok {
 			continue
 		}
-		if best == nil || class < bestClass || (class == bestClass && t.lag() < best.lag()) {
+		if best == nil || class < bestClass || (class == bestClass && t.before(best)) {
 			best, bestClass = t, class
 		}
 	}
@@ -183,6 +173,8 @@
 	t.waiting--
 	q.waiting--
 	t.running++
+	q.pass = t.pass
+	t.pass += 1 / t.weight()
 	if i.waiting == 0 {
 		q.drop(t, i)
 	}
@@ -203,7 +195,9 @@
 
 // Freed counts one sent task of a team as ended.
 func (q *Queue) Freed(name string) {
-	q.team(name).running--
+	t := q.team(name)
+	t.running--
+	q.forget(name, t)
 }
 
 // Remove takes a job's waiting tasks out.
@@ -217,6 +211,7 @@
 	q.waiting -= i.waiting
 	i.waiting = 0
 	q.drop(t, i)
+	q.forget(i.team, t)
 }
 
 // Waiting returns the number of waiting tasks.
@@ -240,6 +235,9 @@
 	return all
 }
 
+// Teams returns the number of teams in memory.
+func (q *Queue) Teams() int { return len(q.teams) }
+
 // Demand returns for each team the number of tasks that wait or run.
 func (q *Queue) Demand() map[string]int {
 	demand := map[string]int{}
@@ -254,17 +252,35 @@
 func (q *Queue) team(name string) *team {
 	t := q.teams[name]
 	if t == nil {
-		t = &team{limits: Limits{Weight: DefaultWeight}}
+		t = &team{name: name, limits: Limits{Weight: DefaultWeight}}
 		q.teams[name] = t
 	}
 	return t
 }
 
-// lag is the number of running tasks by weight. The team with the lowest goes next.
-func (t *team) lag() float64 {
-	return float64(t.running) / float64(max(t.limits.Weight, 1))
+// forget drops a team without work and without limits of its own. Callers choose the names of teams freely.
+func (q *Queue) forget(name string, t *team) {
+	if t.waiting+t.running == 0 && t.limits == (Limits{Weight: DefaultWeight}) {
+		delete(q.teams, name)
+	}
 }
 
+// before tells whether a team goes before another one: the one with fewer running tasks by weight, then the one that was
+// served less. Without the second rule, a team could starve where fewer slots are free than teams compete.
+func (t *team) before(other *team) bool {
+	if x, y := t.lag(), other.lag(); x != y {
+		return x < y
+	}
+	if t.pass != other.pass {
+		return t.pass < other.pass
+	}
+	return t.name < other.name
+}
+
+func (t *team) lag() float64 { return float64(t.running) / t.weight() }
+
+func (t *team) weight() float64 { return float64(max(t.limits.Weight, 1)) }
+
 // teamClass returns the highest class among the jobs of a team, and whether there is a job at all.
 func (q *Queue) teamClass(now clock.Millis, t *team, skipped map[lavendercourse.JobID]bool) (lavendercourse.Class, bool) {
 	best, ok := lavendercourse.Batch, false
--- a/entry/core.go
+++ b/entry/core.go
@@ -134,9 +134,7 @@
 	leaseStart clock.Millis
 	confirmed  clock.Millis
 	// turned is the time at which an agent last refused a start.
-	turned clock.Millis
-	// born is the time at which the incarnation began.
-	born     clock.Millis
+	turned   clock.Millis
 	gate     uint64
 	held     bool
 	parked   bool
@@ -170,7 +168,7 @@
 		spans:    map[lavendercourse.JobID]trace.Span{},
 		declared: map[lavendercourse.Incarnation]clock.Millis{},
 		drained:  map[string]bool{},
-		parked:   true, announce: true, born: now, leaseStart: -1, confirmed: -1,
+		parked:   true, announce: true, confirmed: -1,
 	}
 	m.Collect(c.collect)
 	return c
@@ -192,12 +190,7 @@
 
 // mayAnswer tells whether the entry holds its quorum lease.
 func (c *core) mayAnswer(now clock.Millis) bool {
-	return c.held && c.leased(now)
-}
-
-// leased tells whether a majority has acknowledged a pulse of this incarnation lately enough.
-func (c *core) leased(now clock.Millis) bool {
-	return c.leaseStart >= c.born && now-c.leaseStart <= c.quorumLease()
+	return c.held && now-c.leaseStart <= c.quorumLease()
 }
 
 // listedSelf tells whether this entry is on the list that it knows. Before that, a majority of the list need not include
@@ -206,18 +199,16 @@
 
 // refresh works out what depends on the list, the acknowledgements and the configuration.
 func (c *core) refresh(now clock.Millis) {
-	// What a majority of an earlier list has acknowledged stays true when the list grows.
-	c.leaseStart = max(c.leaseStart, c.quorum.LeaseStart(now, c.names))
-	settled := c.listedSelf() && c.state.Based() && c.quorum.Settled(c.names, c.state.Version())
-	if settled {
+	lapsed := c.quorum.Lapsed(now, c.names)
+	c.leaseStart = c.quorum.Start()
+	if c.listedSelf() && c.state.Based() {
 		c.confirmed = max(c.confirmed, c.quorum.Confirmed(now, c.names, c.state.Version()))
 	}
-	held := c.listedSelf() && c.leased(now)
-	if c.held && !held {
+	if lapsed {
 		c.endIncarnation(now)
 	}
-	c.held = held
-	parked := !settled || now-c.confirmed > c.freshFor()
+	c.held = c.listedSelf() && c.quorum.Held(now, c.names)
+	parked := !c.listedSelf() || !c.state.Based() || !c.quorum.Settled() || now-c.confirmed > c.freshFor()
 	if parked != c.parked {
 		c.parked = parked
 		if parked {
@@ -237,7 +228,7 @@
 	c.past[c.jobs.Incarnation()] = now
 	c.cfg.Jobs.Incarnation = lavendercourse.NewIncarnation()
 	c.jobs = job.New(c.cfg.Jobs)
-	c.announce, c.born = true, now
+	c.announce = true
 }
 
 // settle hands out the answers of jobs that have ended and stops what still runs of them.
@@ -437,8 +428,6 @@
 			c.rehome()
 		}
 	}
-	c.tasks.Forget()
-	c.calls.Forget()
 	c.quorum.Forget(now, 2*job.DefaultLifetime)
 	c.logHealth()
 	for inc, at := range c.declared {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -111,7 +111,7 @@
 		demand[d.Team] = d.Tasks
 	}
 	x.shares.Report(now, name, demand)
-	return l.Send(message.TypeAck, 0, message.Ack{Stamp: p.Stamp, Version: x.ownVersion()})
+	return l.Send(message.TypeAck, 0, message.Ack{Stamp: p.Stamp, Version: x.state.Version(), Vouched: x.quorum.Settled()})
 }
 
 func (x *exchange) ack(name string, f message.Frame) error {
@@ -122,7 +122,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.clock.Now()
-	x.quorum.Acknowledged(name, a.Stamp, a.Version)
+	x.quorum.Acknowledged(name, a.Stamp, a.Version, a.Vouched)
 	x.refresh(now)
 	x.pump(now)
 	return nil
@@ -166,7 +166,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.clock.Now()
-	p := message.Pulse{Stamp: now, Version: x.ownVersion(), Demand: x.limitedDemand()}
+	p := message.Pulse{Stamp: now, Version: x.state.Version(), Demand: x.limitedDemand()}
 	inc := x.jobs.Incarnation()
 	x.limit()
 	x.pump(now)
@@ -196,14 +196,6 @@
 	}
 }
 
-// ownVersion returns the configuration version to tell other entries.
-func (x *exchange) ownVersion() uint64 {
-	if !x.state.Based() || !x.quorum.Settled(x.names, x.state.Version()) {
-		return message.VersionUnknown
-	}
-	return x.state.Version()
-}
-
 // limitedDemand returns the demand of the teams that have a quota. The others need no share.
 func (x *exchange) limitedDemand() []message.Demand {
 	var limited []message.Demand
@@ -286,7 +278,8 @@
 	defer cancel()
 	x.mu.Lock()
 	list := append([]string(nil), x.names...)
-	sightings := map[string]member.Sighting{x.cfg.Name: x.quorum.Sighting(x.clock.Now(), inc)}
+	asked := x.clock.Now()
+	sightings := map[string]member.Sighting{x.cfg.Name: x.quorum.Sighting(asked, inc)}
 	_, known = x.list.Owner(inc)
 	links := map[string]*link.Link{}
 	for name, l := range x.peers {
@@ -316,5 +309,5 @@
 	for _, s := range sightings {
 		known = known || s.Known
 	}
-	return x.quorum.Gone(list, sightings), known
+	return x.quorum.Gone(x.clock.Now(), asked, list, sightings), known
 }
--- a/member/quorum.go
+++ b/member/quorum.go
@@ -27,14 +27,11 @@
 	Fresh clock.Millis
 }
 
-// unknown is the version that an entry tells which may have forgotten changes. It is higher than any other, so that
-// its acknowledgements confirm no version.
-const unknown = ^uint64(0)
-
 type acknowledged struct {
 	// stamp is the time at which the acknowledged pulse was sent, by the clock of this entry.
 	stamp   clock.Millis
 	version uint64
+	vouched bool
 }
 
 // Quorum is what an entry knows of the other entries by their acknowledgements.
@@ -42,11 +39,21 @@
 	cfg   Config
 	acks  map[string]acknowledged
 	heard map[lavendercourse.Incarnation]clock.Millis
-	// versions holds the highest configuration version that each entry has told.
+	// versions holds the configuration version that each entry has told last. It falls when an entry restarts.
 	versions map[string]uint64
 	// log is the time at which the last read began that showed the configuration to be current.
 	log clock.Millis
 	up  clock.Millis
+	// held and until are the lease as last worked out by Lapsed.
+	held  bool
+	until clock.Millis
+	// settled tells whether this entry can vouch for its configuration version, see Settled.
+	settled bool
+	// best is the latest start of the lease so far. What a majority of an earlier list has acknowledged stays true when
+	// the list grows.
+	best clock.Millis
+	// since is the time of the last lapse. Pulses sent until then named an earlier incarnation.
+	since clock.Millis
 }
 
 // NewQuorum returns a quorum in which nothing was heard yet.
@@ -60,27 +67,26 @@
 	if cfg.Fresh == 0 {
 		cfg.Fresh = DefaultFresh
 	}
-	return &Quorum{
+	q := &Quorum{
 		cfg: cfg, acks: map[string]acknowledged{}, versions: map[string]uint64{},
 		heard: map[lavendercourse.Incarnation]clock.Millis{}, log: -cfg.Fresh - 1, up: now,
 	}
+	q.best = q.never()
+	return q
 }
 
-// Acknowledged takes note of an answer to the pulse sent at stamp.
-func (q *Quorum) Acknowledged(name string, stamp clock.Millis, version uint64) {
-	if old, ok := q.acks[name]; ok && old.stamp >= stamp {
+// Acknowledged takes note of an answer to the pulse sent at stamp. Vouched tells whether the other entry was settled.
+func (q *Quorum) Acknowledged(name string, stamp clock.Millis, version uint64, vouched bool) {
+	if old, ok := q.acks[name]; stamp <= q.since || (ok && old.stamp >= stamp) {
 		return
 	}
-	q.acks[name] = acknowledged{stamp: stamp, version: version}
+	q.acks[name] = acknowledged{stamp: stamp, version: version, vouched: vouched}
 	q.Told(name, version)
 }
 
-// Told takes note of the configuration version of another entry, unless it does not know its own.
+// Told takes note of the configuration version of another entry.
 func (q *Quorum) Told(name string, version uint64) {
-	if version == unknown {
-		return
-	}
-	q.versions[name] = max(q.versions[name], version)
+	q.versions[name] = version
 }
 
 // Heard takes note of a sign of life of an incarnation.
@@ -91,23 +97,61 @@
 // ReadLog takes note that a read of the log that began at the given time showed the configuration to be current.
 func (q *Quorum) ReadLog(began clock.Millis) {
 	q.log = max(q.log, began)
+	q.settled = true
 }
 
+// Settled tells whether the configuration of this entry was confirmed since it started, by the log or by a majority that
+// does not include itself. Until then it may have forgotten a version that it had adopted before a restart, so that its
+// word that it knows of no newer one means nothing.
+func (q *Quorum) Settled() bool { return q.settled }
+
 // Held tells whether this entry may answer for its jobs.
 func (q *Quorum) Held(now clock.Millis, list []string) bool {
-	return now-q.LeaseStart(now, list) <= q.cfg.Lease
+	return !q.ended(now) && now-max(q.best, q.LeaseStart(now, list)) <= q.cfg.Lease
+}
+
+// Start returns the start of the lease as last worked out by Lapsed.
+func (q *Quorum) Start() clock.Millis { return q.best }
+
+// Lapsed tells whether the lease has ended since the last call; the entry must then take a new incarnation. It is to be
+// called after each acknowledgement, each change of the list, and before each answer. A lease that ended has lapsed even
+// if new acknowledgements have come since, because others may have declared the incarnation gone in between. The
+// acknowledgements of the old incarnation do not count for the new one, which nobody has heard of yet.
+func (q *Quorum) Lapsed(now clock.Millis, list []string) bool {
+	before := q.held
+	q.best = max(q.best, q.LeaseStart(now, list))
+	q.held = !q.ended(now) && now-q.best <= q.cfg.Lease
+	if q.held {
+		q.until = q.best + q.cfg.Lease
+	}
+	lapsed := before && !q.held
+	if lapsed {
+		clear(q.acks)
+		q.since, q.best = now, q.never()
+	}
+	return lapsed
 }
 
+func (q *Quorum) ended(now clock.Millis) bool { return q.held && now > q.until }
+
 // LeaseStart returns the latest time such that a majority of the list has acknowledged a pulse sent then or later.
 func (q *Quorum) LeaseStart(now clock.Millis, list []string) clock.Millis {
 	return q.majority(now, list, func(acknowledged) bool { return true })
 }
 
 // Confirmed returns the latest time at which the given configuration version was known to be current: by a read of the
-// log, or because a majority of the list knew of no newer one.
+// log, or because a majority of the list knew of no newer one. Only entries that are settled count. The version must be
+// that of a complete configuration.
 func (q *Quorum) Confirmed(now clock.Millis, list []string, version uint64) clock.Millis {
-	byPeers := q.majority(now, list, func(a acknowledged) bool { return a.version <= version })
-	return max(q.log, byPeers)
+	vouches := func(a acknowledged) bool { return a.vouched && a.version <= version }
+	if !q.settled {
+		q.settled = q.majority(q.never(), list, vouches) > q.never()
+	}
+	self := now
+	if !q.settled {
+		self = q.never()
+	}
+	return max(q.log, q.majority(self, list, vouches))
 }
 
 // Fresh tells whether the confirmation of the given configuration version is young enough.
@@ -126,27 +170,6 @@
 	return n > len(list)/2
 }
 
-// Settled tells whether this entry knows all changes that may have been accepted before it started. It does once it has
-// read the log, or once a majority of the list, itself not counted, has told its version and this entry has the highest
-// of them. Without this rule, an entry that was replaced while the log was down could help to confirm an old version.
-func (q *Quorum) Settled(list []string, version uint64) bool {
-	if q.log >= 0 {
-		return true
-	}
-	n := 0
-	for _, name := range list {
-		v, ok := q.versions[name]
-		if name == q.cfg.Name || !ok {
-			continue
-		}
-		if v > version {
-			return false
-		}
-		n++
-	}
-	return n > len(list)/2
-}
-
 // Newest returns an entry that has told a higher configuration version than the given one, or "".
 func (q *Quorum) Newest(list []string, version uint64) string {
 	newest := ""
@@ -174,8 +197,12 @@
 }
 
 // Gone tells whether the sightings of a majority of the list show that an incarnation has ended. An entry that was
-// started too recently cannot tell.
-func (q *Quorum) Gone(list []string, sightings map[string]Sighting) bool {
+// started too recently cannot tell. Sightings that were asked for too long ago tell nothing: each of them may be older
+// than a renewal that the others have not seen.
+func (q *Quorum) Gone(now, asked clock.Millis, list []string, sightings map[string]Sighting) bool {
+	if now-asked > q.cfg.Gone-q.cfg.Lease {
+		return false
+	}
 	n := 0
 	for _, name := range list {
 		s, ok := sightings[name]
@@ -195,10 +222,13 @@
 	}
 }
 
+// never is a time that is too early for any bound.
+func (q *Quorum) never() clock.Millis { return -max(q.cfg.Lease, q.cfg.Fresh) - 1 }
+
 // majority returns the latest time such that more than half of the list has acknowledged then or later. This entry
-// always acknowledges itself.
-func (q *Quorum) majority(now clock.Millis, list []string, counts func(acknowledged) bool) clock.Millis {
-	never := -max(q.cfg.Lease, q.cfg.Fresh) - 1
+// itself counts with the given time.
+func (q *Quorum) majority(self clock.Millis, list []string, counts func(acknowledged) bool) clock.Millis {
+	never := q.never()
 	if len(list) == 0 {
 		return never
 	}
@@ -207,7 +237,7 @@
 		a, ok := q.acks[name]
 		switch {
 		case name == q.cfg.Name:
-			stamps = append(stamps, now)
+			stamps = append(stamps, self)
 		case ok && counts(a):
 			stamps = append(stamps, a.stamp)
 		default:
--- a/message/body.go
+++ b/message/body.go
@@ -163,10 +163,6 @@
 	Tasks int    `cbor:"tasks"`
 }
 
-// VersionUnknown is told in place of a configuration version by an entry that may have forgotten changes: one that
-// was restarted and has neither read the log nor heard a majority of the other entries since.
-const VersionUnknown = ^uint64(0)
-
 // Pulse is the heartbeat between entries. It is sent as an array like Load.
 type Pulse struct {
 	_ struct{} `cbor:",toarray"`
@@ -183,6 +179,8 @@
 	_       struct{} `cbor:",toarray"`
 	Stamp   clock.Millis
 	Version uint64
+	// Vouched is false if the sender may have forgotten a newer version in a restart.
+	Vouched bool
 }
 
 // Forward carries a request to the entry that owns its job.
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -204,6 +204,9 @@
 	Expected clock.Millis
 	// Excused is set by the fleet for a failure that is the kind's and not the worker's.
 	Excused bool
+	// sent is the time at which the start was sent, and room tells whether one more worker may be ejected.
+	sent clock.Millis
+	room bool
 }
 
 // Ended counts a start that has ended. It returns false for one that is not counted.
@@ -212,13 +215,15 @@
 	if a == nil {
 		return false
 	}
-	if _, ok := a.sent[at]; !ok {
+	sent, ok := a.sent[at]
+	if !ok {
 		return false
 	}
 	delete(a.sent, at)
 	if call {
 		a.calls--
 	}
+	e.sent, e.room = sent, f.ejectable() > 0
 	e.Excused = f.kinds.ended(now, name, e)
 	a.health.ended(now, e)
 	return true
--- a/placement/health.go
+++ b/placement/health.go
@@ -31,7 +31,9 @@
 	failures int
 	ejected  bool
 	until    clock.Millis
-	pause    clock.Millis
+	// since is the time of the last ejection or failed trial.
+	since clock.Millis
+	pause clock.Millis
 	// slowness is the running mean of run time over expected run time.
 	slowness float64
 	samples  int
@@ -53,13 +55,17 @@
 	}
 }
 
-// ended takes note of the end of a task. A refusal or a stop says nothing about the worker.
+// ended takes note of the end of a task. A refusal or a stop says nothing about the worker, nor do tasks that were sent
+// before the worker was ejected.
 func (h *health) ended(now clock.Millis, e Ending) {
+	if h.ejected && e.sent <= h.since {
+		return
+	}
 	switch e.Status {
 	case message.StatusDone:
 		h.measure(e)
 		if h.samples >= slowSamples && h.slowness > slowLimit {
-			h.eject(now)
+			h.eject(now, e.room)
 			return
 		}
 		h.failures, h.pause = 0, 0
@@ -74,7 +80,7 @@
 		}
 		h.failures++
 		if h.failures >= failureLimit || h.ejected {
-			h.eject(now)
+			h.eject(now, e.room)
 		}
 	}
 }
@@ -94,14 +100,20 @@
 	h.slowness += (ratio - h.slowness) / float64(min(h.samples, slowWeight))
 }
 
-func (h *health) eject(now clock.Millis) {
-	h.ejected = true
+// eject keeps the worker from getting more than trial tasks, or starts it again like a new one if no more workers may
+// be ejected.
+func (h *health) eject(now clock.Millis, room bool) {
+	if !h.ejected && !room {
+		h.window = firstWindow
+		return
+	}
+	h.ejected, h.since = true, now
 	h.pause = min(max(h.pause*2, firstPause), longestPause)
 	h.until = now + h.pause
 }
 
 // open tells whether the worker may get one more task. An ejected worker gets single trial tasks; if too many workers
-// are ejected, it is treated like a new one.
+// are ejected, because others have left, it is treated like a new one.
 func (h *health) open(now clock.Millis, sent, ejectable int) bool {
 	if !h.ejected {
 		return sent < h.window
--- a/telemetry/log_test.go
+++ b/telemetry/log_test.go
@@ -57,7 +57,13 @@
 	assert.NilError(t, err)
 	s.awaitEvent(event.ConfigRefused, map[string]any{"key": "team.survey.quota"})
 
-	// Five failures in a row eject the worker; a task that ends well readmits it.
+	// Five failures in a row eject the worker; a task that ends well readmits it. At most a third of the workers is ejected,
+	// so there are two more, which get no task.
+	_, err = s.operator(0).SetDomain(t.Context(), connect.NewRequest(&dispatchv1.SetDomainRequest{Domain: "asahikawa", Drained: true}))
+	assert.NilError(t, err)
+	s.startAgent("agent-2", "asahikawa", nil)
+	s.startAgent("agent-3", "asahikawa", nil)
+	s.await("three workers are linked", func() bool { return s.workers(0) == 3 })
 	c := s.client(0, nil)
 	for range 5 {
 		_, err := submit(t.Context(), c, "", "fail", "", 1)
