--- /dev/null
+++ b/proof/job_test.go
@@ -0,0 +1,156 @@
+package proof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
+)
+
+const (
+	complete = dispatchv1.Outcome_OUTCOME_COMPLETE
+	failed   = dispatchv1.Outcome_OUTCOME_FAILED
+	refused  = dispatchv1.Outcome_OUTCOME_REFUSED
+	unknown  = dispatchv1.Outcome_OUTCOME_UNKNOWN
+)
+
+// TestResubmission guards against tasks that start again, and answers that contradict each other, when the same id is
+// submitted more than once (promises 1, 2 and 5).
+func TestResubmission(t *testing.T) {
+	c := newCluster(t)
+	l := &ledger{}
+
+	t.Log("the same id to three entries at once")
+	req := newJob(50, 50)
+	c.reserve(0, req)
+	parallel(entries, func(i int) {
+		assert.Check(t, c.submit(l, i, req).GetOutcome() == complete)
+	})
+	assert.Equal(t, c.journal().count(req.GetId()), 50)
+
+	t.Log("the same id with another body")
+	other := newJob(50, 10)
+	other.Id = req.GetId()
+	for i := range entries {
+		resp, err := c.dispatch(i).Submit(context.Background(), connect.NewRequest(other))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Msg.GetVerdict().GetReason(), dispatchv1.Reason_REASON_CONFLICT)
+		l.add(answer{request: other, id: other.GetId(), verdict: resp.Msg.GetVerdict(), results: resp.Msg.GetResults(), other: true})
+	}
+	assert.Equal(t, c.journal().count(req.GetId()), 50)
+
+	t.Log("after a lost answer")
+	req = newJob(50, 100)
+	c.reserve(0, req)
+	ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+	_, err := c.dispatch(0).Submit(ctx, connect.NewRequest(req))
+	cancel()
+	assert.Check(t, err != nil, "the answer came before it could be lost")
+	assert.Equal(t, c.submit(l, 1, req).GetOutcome(), complete)
+
+	t.Log("while the owner is stopped for less than its quorum lease")
+	req = newJob(200, 100)
+	c.reserve(0, req)
+	parallel(entries, func(i int) {
+		if i == 0 {
+			time.Sleep(300 * time.Millisecond)
+			c.entries[0].pause()
+			time.Sleep(2 * time.Second)
+			c.entries[0].resume()
+			return
+		}
+		assert.Check(t, c.submit(l, i, req).GetOutcome() == complete)
+	})
+	check(t, l.judge(c.journal()))
+}
+
+// TestOwnerPaused guards against an owner that answers for a job after the other entries have declared it gone
+// (promises 1, 2 and 5).
+func TestOwnerPaused(t *testing.T) {
+	c := newCluster(t)
+	l := &ledger{}
+	ended, running := newJob(20, 10), newJob(400, 100)
+	c.reserve(0, ended)
+	c.reserve(0, running)
+	assert.Equal(t, c.submit(&ledger{}, 0, ended).GetOutcome(), complete)
+	go func() { _, _ = c.dispatch(0).Submit(context.Background(), connect.NewRequest(running)) }()
+	c.eventually(c.started(running))
+	c.entries[0].pause()
+	parallel(4, func(i int) {
+		assert.Check(t, c.submit(l, 1+i%2, []*dispatchv1.SubmitRequest{ended, running}[i/2]).GetOutcome() == failed)
+	})
+	// These requests wait in the socket of the owner and are the first thing it sees.
+	go func() {
+		time.Sleep(time.Second)
+		c.entries[0].resume()
+	}()
+	parallel(40, func(i int) {
+		req := []*dispatchv1.SubmitRequest{ended, running}[i%2]
+		switch i % 4 {
+		case 0, 1:
+			c.submit(l, 0, req)
+		default:
+			resp, err := c.dispatch(0).Status(context.Background(), connect.NewRequest(&dispatchv1.StatusRequest{Id: req.GetId()}))
+			if err == nil {
+				l.add(answer{id: req.GetId(), verdict: resp.Msg.GetVerdict()})
+			}
+		}
+	})
+	c.ready()
+	c.works(l)
+	check(t, l.judge(c.journal()))
+}
+
+// TestOwnerKilled guards against tasks that start again after the owner of their job was killed and replaced
+// (promises 1, 2 and 5).
+func TestOwnerKilled(t *testing.T) {
+	c := newCluster(t)
+	l := &ledger{}
+	req := newJob(1100, 100)
+	c.reserve(0, req)
+	go func() { _, _ = c.dispatch(0).Submit(context.Background(), connect.NewRequest(req)) }()
+	c.eventually(c.started(req))
+	c.entries[0].kill()
+	parallel(2, func(i int) {
+		if i == 0 {
+			time.Sleep(2 * time.Second)
+			c.entries[0].start(t)
+		}
+		v := c.submit(l, 1+i, req)
+		assert.Check(t, v.GetOutcome() == failed && v.GetRan() == dispatchv1.Ran_RAN_SOME, "%v", v)
+	})
+	assert.Check(t, c.submit(l, 0, req).GetOutcome() != complete)
+	c.ready()
+	// Agents stop the tasks of the old owner when their lease ends.
+	c.works(l)
+	check(t, l.judge(c.journal()))
+}
+
+// started tells whether a task of the job has started.
+func (c *cluster) started(req *dispatchv1.SubmitRequest) func() error {
+	return func() error {
+		if c.journal().count(req.GetId()) == 0 {
+			return context.DeadlineExceeded
+		}
+		return nil
+	}
+}
+
+// works checks that a job through each entry completes in the end.
+func (c *cluster) works(l *ledger) {
+	c.t.Helper()
+	for i := range entries {
+		c.eventually(func() error {
+			req := newJob(40, 10)
+			c.reserve(i, req)
+			if v := c.submit(l, i, req); v.GetOutcome() != complete {
+				return context.DeadlineExceeded
+			}
+			return nil
+		})
+	}
+}
