--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -179,7 +179,7 @@
 		c.workers = append(c.workers, c.process(name, "standin", "worker", "--listen", c.backends[i], "--name", name, "--domain", domainOf(i)))
 		c.workers[i].start(t)
 		c.agents = append(c.agents, c.process(agentName(i), "lavendercourse", "agent", "--settings", c.settings(agentName(i), domainOf(i),
-			"[Agent]", "name="+agentName(i), "entries="+strings.Join(seeds, ","), "worker="+c.backends[i], fmt.Sprintf("slots=%d", slots))))
+			"[Agent]", "name="+agentName(i), "entries="+strings.Join(seeds, ","), "worker="+c.backends[i], fmt.Sprintf("slots=%d", slots), "memory=1000")))
 	}
 	for _, p := range append(c.entries, c.agents...) {
 		p.start(t)
@@ -204,15 +204,51 @@
 	return path
 }
 
-// ready waits until every entry takes work and is linked with every agent and every entry.
+// ready waits until every entry takes work and is linked with every agent and every entry. An entry that learns of the
+// others only after its start takes a new incarnation, so the incarnations must stay the same for a second.
 func (c *cluster) ready() {
 	c.t.Helper()
-	for i := range entries {
-		c.eventually(func() error { return c.entryReady(i) })
+	last := ""
+	c.eventually(func() error {
+		now := ""
+		for i := range entries {
+			id, err := c.entryReady(i)
+			if err != nil {
+				return err
+			}
+			now += strings.SplitN(id, ".", 2)[0] + " "
+		}
+		if now != last {
+			last = now
+			time.Sleep(time.Second)
+			return fmt.Errorf("incarnations are now %s", now)
+		}
+		return nil
+	})
+}
+
+// entryReady returns an id of the entry, for which each other entry can ask it.
+func (c *cluster) entryReady(i int) (string, error) {
+	if err := c.entryLinked(i); err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	ids, err := c.dispatch(i).Reserve(ctx, connect.NewRequest(&dispatchv1.ReserveRequest{Count: 1}))
+	if err != nil {
+		return "", err
+	}
+	id := ids.Msg.GetIds()[0]
+	for j := range entries {
+		s, err := c.dispatch(j).Status(ctx, connect.NewRequest(&dispatchv1.StatusRequest{Id: id}))
+		if err != nil || s.Msg.GetVerdict().GetReason() != dispatchv1.Reason_REASON_EXPIRED {
+			return "", fmt.Errorf("entry %d does not reach entry %d: %v %v", j, i, s, err)
+		}
 	}
+	return id, nil
 }
 
-func (c *cluster) entryReady(i int) error {
+func (c *cluster) entryLinked(i int) error {
 	resp, err := c.http.Get("http://" + c.callers[i] + "/health")
 	if err != nil {
 		return err
--- /dev/null
+++ b/proof/leave_test.go
@@ -0,0 +1,51 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestAgentLeaves guards against new work for an agent later than 4 s after it was told to stop, and against work that
+// its stop cuts off (promises 7 and 8).
+func TestAgentLeaves(t *testing.T) {
+	c := newCluster(t)
+	l := c.newLoad(24, 300)
+	for i := range agents {
+		c.resumes(domainOf(i))
+		asked := time.Now()
+		c.agents[i].stop(t)
+		gone := time.Now()
+		time.Sleep(time.Until(asked.Add(bound + 500*time.Millisecond)))
+		var late journal
+		for _, s := range c.journalOf(i) {
+			if s.Time.After(asked.Add(bound)) || s.Time.After(gone) {
+				late = append(late, s)
+			}
+		}
+		assert.Check(t, len(late) == 0, "%d starts on a worker whose agent had left: %v", len(late), late)
+		c.agents[i].start(t)
+		c.ready()
+	}
+	l.stop()
+	t.Log(l.outcomes())
+	check(t, append(l.judge(c.journal()), l.cutOff()...))
+}
+
+// TestRollingRestart guards against requests that a graceful stop of any entry or agent cuts off (promise 8).
+func TestRollingRestart(t *testing.T) {
+	c := newCluster(t)
+	l := c.newLoad(24, 100)
+	for i := range agents {
+		for _, p := range append([]*process{c.agents[i]}, c.entries[i%entries]) {
+			p.stop(t)
+			time.Sleep(200 * time.Millisecond)
+			p.start(t)
+			c.ready()
+		}
+	}
+	l.stop()
+	t.Log(l.outcomes())
+	check(t, append(l.judge(c.journal()), l.cutOff()...))
+}
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -62,7 +62,6 @@
 	wg     sync.WaitGroup
 	// unanswered holds the errors of requests that got no answer.
 	unanswered []error
-	stopping   atomic.Int64
 }
 
 // newLoad starts the callers. Each job has four tasks.
@@ -80,7 +79,7 @@
 	return l
 }
 
-// one submits a job, and again under another id for as long as the answer says that the entry is stopping.
+// one submits a job. After an answer that says "not run", the caller goes on with another job.
 func (l *load) one(client *caller.Client, ms int) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
 	defer cancel()
@@ -89,7 +88,6 @@
 	if err != nil {
 		if req.GetId() == "" {
 			// No id was issued, so nothing was submitted.
-			l.stopping.Add(1)
 			time.Sleep(20 * time.Millisecond)
 			return
 		}
@@ -98,8 +96,8 @@
 		l.unanswered = append(l.unanswered, err)
 		return
 	}
-	if resp.GetVerdict().GetReason() == dispatchv1.Reason_REASON_STOPPING {
-		l.stopping.Add(1)
+	if resp.GetVerdict().GetOutcome() == refused {
+		time.Sleep(20 * time.Millisecond)
 	}
 	l.add(answer{request: req, id: req.GetId(), verdict: resp.GetVerdict(), results: resp.GetResults()})
 }
