Keep the verdict of a call's first attempt when its retry is refused

Cause: Call returned the verdict of the last attempt. When a retry of an idempotent call was refused (entry stopping, queue full, deadline passed in the queue), the answer said "not run" although the first attempt had run. Conclusion: an attempt that did not run cannot replace the verdict of one that did.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -123,8 +123,14 @@
 		return nil, invalid("a call needs a team and a kind")
 	}
 	d.budget.call()
+	var last *lavendercourse.Verdict
 	for try := 0; ; try++ {
 		v, result := d.call(ctx, m)
+		if last != nil && !v.Ran {
+			// The refusal of a retry must not hide that an earlier attempt ran.
+			v = *last
+		}
+		last = &v
 		again := m.GetIdempotent() && v.Outcome == lavendercourse.Failed && v.Reason != lavendercourse.ReasonDeadline
 		if !again || try >= maxCallRetries || ctx.Err() != nil || !d.budget.retry() {
 			return connect.NewResponse(&dispatchv1.CallResponse{Verdict: verdictOf(v), Result: result}), nil
