Let an entry that starts while the log is down serve agents

Cause: an entry that could not announce itself told agents a list of entries without itself. The agents gave up their links to it at once and dialed it again every 500 ms. A list that holds the entry alone, as after a cold start, made agents drop their links to the other entries in the same way. Ruled out: missing links between entries (the peers had linked) and a stale address (the agents reached it). Before: TestPublish saw 0 of 4 workers linked 40 s after an entry was replaced during an outage. Conclusion: an entry counts itself, and only a list that was read from the log is told to agents.

The reserve of the retry budget is 5 instead of 10: TestRetryBudget measured 248 sends for 200 calls through three entries before, 233 after.

--- a/entry/budget.go
+++ b/entry/budget.go
@@ -5,8 +5,9 @@
 const (
 	// retryShare is the number of first sends that pay for one retry.
 	retryShare = 10
-	// retryReserve is the number of retries that may be saved up.
-	retryReserve = 10
+	// retryReserve is the number of retries that may be saved up. Three entries with full reserves then send at most 1.2
+	// times for each of 200 calls; with a reserve of 10, 248 sends for 200 calls were measured.
+	retryReserve = 5
 )
 
 // budget bounds the retries of idempotent calls to a share of the calls, so that retries cannot add much load when all
--- a/entry/core.go
+++ b/entry/core.go
@@ -108,6 +108,10 @@
 		past:    map[lavendercourse.Incarnation]clock.Millis{},
 		parked:  true, announce: true,
 	}
+	// While the log is down the entry cannot announce itself, but peers that link to it must count it.
+	c.list.Learn(member.Announcement{
+		Name: cfg.Name, Address: cfg.Advertise, Incarnation: string(cfg.Jobs.Incarnation), Region: cfg.Region, Domain: cfg.Domain,
+	})
 	return c
 }
 
@@ -379,6 +383,15 @@
 	return peers
 }
 
+// agentPeers returns the list that agents are told. Agents give up links to entries that are not on it, so an entry that
+// has not read the list from the log tells them none.
+func (c *core) agentPeers() []message.Peer {
+	if c.list.Offset() == 0 {
+		return nil
+	}
+	return c.peersList()
+}
+
 // wantOf returns the largest declared needs among the tasks of a job.
 func wantOf(j *job.Job) placement.Want {
 	w := placement.Want{Call: j.Spec().Call}
--- a/entry/link.go
+++ b/entry/link.go
@@ -81,8 +81,12 @@
 	event.LinkOpened.On(r.logger).Str("peer", h.Name).Send()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	peers := r.peersList()
+	if h.Kind == message.KindAgent {
+		peers = r.agentPeers()
+	}
 	err := l.Send(message.TypeWelcome, f.Number, message.Welcome{
-		Name: r.cfg.Name, Incarnation: string(r.jobs.Incarnation()), Peers: r.peersList(),
+		Name: r.cfg.Name, Incarnation: string(r.jobs.Incarnation()), Peers: peers,
 	})
 	if err != nil {
 		return err
@@ -196,7 +200,7 @@
 	}
 	if a.told != r.listed {
 		a.told = r.listed
-		renew.Peers = r.peersList()
+		renew.Peers = r.agentPeers()
 	}
 	if err := a.link.Send(message.TypeRenew, 0, renew); err != nil {
 		return err
