Refuse to show a configuration that was not read yet

Cause: an entry that was just started answered GetConfig with version 0 before it had read the log or a peer's state, so the version that operators saw through it fell. Ruled out: a lost change; the version was back once the state was read. Conclusion: operator reads answer "unavailable" until the state is complete.

--- a/entry/operator.go
+++ b/entry/operator.go
@@ -17,6 +17,9 @@
 
 const publishPoll = 20 * time.Millisecond
 
+// errUnread keeps an entry that was just started from showing a version below one that operators saw before.
+var errUnread = eris.New("entry has not read the configuration yet")
+
 // operator serves operators.
 type operator struct {
 	*core
@@ -51,6 +54,9 @@
 func (o *operator) GetConfig(context.Context, *connect.Request[dispatchv1.GetConfigRequest]) (*connect.Response[dispatchv1.GetConfigResponse], error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.state.Based() {
+		return nil, connect.NewError(connect.CodeUnavailable, errUnread)
+	}
 	return connect.NewResponse(&dispatchv1.GetConfigResponse{
 		Version: o.state.Version(), Entries: entriesOf(o.state.Settings()), AgeMs: uint64(o.clock.Now() - o.confirmed),
 	}), nil
@@ -60,6 +66,9 @@
 func (o *operator) ConfigHistory(_ context.Context, req *connect.Request[dispatchv1.ConfigHistoryRequest]) (*connect.Response[dispatchv1.ConfigHistoryResponse], error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.state.Based() {
+		return nil, connect.NewError(connect.CodeUnavailable, errUnread)
+	}
 	h := o.state.History(int(req.Msg.GetCount()))
 	return connect.NewResponse(&dispatchv1.ConfigHistoryResponse{Entries: entriesOf(h)}), nil
 }
@@ -68,6 +77,9 @@
 func (o *operator) ListDomains(context.Context, *connect.Request[dispatchv1.ListDomainsRequest]) (*connect.Response[dispatchv1.ListDomainsResponse], error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.state.Based() {
+		return nil, connect.NewError(connect.CodeUnavailable, errUnread)
+	}
 	domains := map[string]*dispatchv1.Domain{}
 	at := func(name string) *dispatchv1.Domain {
 		if domains[name] == nil {
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -67,12 +68,12 @@
 // nextPort is below the range from which the kernel takes the ports of outgoing connections.
 var nextPort atomic.Int64
 
-func init() { nextPort.Store(20_000 + int64(os.Getpid())%8000) }
+func init() { nextPort.Store(rand.Int64N(22_000)) }
 
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	for range 4000 {
-		address := fmt.Sprintf("127.0.0.1:%d", 20_000+nextPort.Add(1)%12_000)
+		address := fmt.Sprintf("127.0.0.1:%d", 10_000+nextPort.Add(1)%22_000)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = l.Close()
--- a/proof/relay_test.go
+++ b/proof/relay_test.go
@@ -56,7 +56,7 @@
 }
 
 func newRelay(t *testing.T, target string) *relay {
-	l, err := net.Listen("tcp", freeAddress(t))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	r := &relay{listener: l, target: target, gates: map[string]*gates{}}
 	go func() {
