Check the quorum lease before telling a job's status

Cause: status and cancel told the outcome of an ended job without a check of the quorum lease. A paused owner that was asked right after it went on, before its first tick, said "complete" of a job that the others had declared failed. Ruled out: Submit, which checks the lease just before each answer. Before: TestOwnerPaused saw "complete after another answer" in 1 of about 9 runs; TestLeaseEndedWhilePaused failed in both scenarios. After: TestLeaseEndedWhilePaused passes. Conclusion: every answer about a job checks the lease first.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -336,6 +336,8 @@
 func (d *dispatcher) status(id lavendercourse.JobID) *dispatchv1.StatusResponse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	// Without its quorum lease the entry must not tell how a job ended: another one may have declared it gone.
+	d.refresh(d.clock.Now())
 	j, err := d.jobs.Find(id)
 	switch {
 	case eris.Is(err, job.ErrOwner):
@@ -355,6 +357,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
+	d.refresh(now)
 	j, err := d.jobs.Find(id)
 	switch {
 	case eris.Is(err, job.ErrOwner):
