Refuse requests and results that do not fit into a frame

Cause: requests had no size limit. A payload above 4 MiB did not fit into a start frame, the send failed, and the entry closed the agent's link. After the reconnect the task was sent again, to this or another agent, until the deadline of 300 s; each time a link broke. Through another entry, the forward failed and the caller was told to ask again. Ruled out: the receiving side; the frame was never written. Conclusion: an entry refuses requests above 4 MiB less 64 KiB, an agent fails a task with a larger result, and an answer that is too large to be forwarded makes no claim instead of leaving the caller without one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	drainPoll    = 20 * time.Millisecond
 	// maxLinks is the number of entries that an agent keeps links with, so that links do not grow with the fleet.
 	maxLinks = 4
+	// maxResult bounds a result in bytes, so that it fits into a frame with the other fields of a done.
+	maxResult = message.MaxSize - 64<<10
 )
 
 // Config holds the settings of an agent.
@@ -218,6 +221,8 @@
 		return message.StatusFailed, nil, err.Error()
 	case res.Failure != "":
 		return message.StatusFailed, nil, res.Failure
+	case len(res.Data) > maxResult:
+		return message.StatusFailed, nil, fmt.Sprintf("result has %d bytes, want at most %d", len(res.Data), maxResult)
 	default:
 		return message.StatusDone, res.Data, ""
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -25,6 +25,10 @@
 	// maxCallRetries bounds how often an idempotent call is sent again.
 	maxCallRetries = 2
 	retryAgain     = clock.Second
+
+	// maxRequest bounds a request in bytes. Requests are forwarded, and payloads sent to agents, in one frame each, which
+	// has other fields too.
+	maxRequest = message.MaxSize - 64<<10
 )
 
 var errInvalid = eris.New("invalid request; nothing was run")
@@ -122,6 +126,9 @@
 	if m.GetTeam() == "" || m.GetKind() == "" {
 		return nil, invalid("a call needs a team and a kind")
 	}
+	if n := proto.Size(m); n > maxRequest {
+		return nil, invalid("the call has %d bytes, want at most %d", n, maxRequest)
+	}
 	d.budget.call()
 	var last *lavendercourse.Verdict
 	for try := 0; ; try++ {
@@ -165,6 +172,10 @@
 	switch m := req.(type) {
 	case *dispatchv1.SubmitRequest:
 		resp = d.submit(ctx, id, m)
+		if proto.Size(resp) > maxRequest {
+			v := lavendercourse.NoClaim(lavendercourse.ReasonExpired, "the results are too large to be passed on by another entry", 0)
+			resp = &dispatchv1.SubmitResponse{Verdict: verdictOf(v)}
+		}
 	case *dispatchv1.StatusRequest:
 		resp = d.status(id)
 	default:
@@ -464,6 +475,9 @@
 	if n := len(m.GetTasks()); n < 1 || n > lavendercourse.MaxTasks {
 		return invalid("the job has %d tasks, want 1 to %d", n, lavendercourse.MaxTasks)
 	}
+	if n := proto.Size(m); n > maxRequest {
+		return invalid("the job has %d bytes, want at most %d", n, maxRequest)
+	}
 	for i, t := range m.GetTasks() {
 		if t.GetKind() == "" {
 			return invalid("task %d has no kind", i)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
@@ -109,9 +110,10 @@
 
 func (e *Entry) callerRoutes(d *dispatcher) http.Handler {
 	r := mux.NewRouter()
-	path, handler := dispatchv1connect.NewDispatchServiceHandler(d)
+	limit := connect.WithReadMaxBytes(message.MaxSize)
+	path, handler := dispatchv1connect.NewDispatchServiceHandler(d, limit)
 	r.PathPrefix(path).Handler(handler)
-	path, handler = dispatchv1connect.NewOperatorServiceHandler(&operator{core: e.core, follower: e.follower})
+	path, handler = dispatchv1connect.NewOperatorServiceHandler(&operator{core: e.core, follower: e.follower}, limit)
 	r.PathPrefix(path).Handler(handler)
 	r.HandleFunc("/health", e.health)
 	return r
--- a/proof/fault_test.go
+++ b/proof/fault_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
+	"github.com/lavendercourse/lavendercourse/standin/platform"
 	"github.com/lavendercourse/lavendercourse/standin/worker"
 )
 
@@ -38,8 +39,22 @@
 		{"owner cut off from one entry", func(c *cluster) { c.relays[2].cut(entryName(0), bothWays) }, func(c *cluster) {
 			c.relays[2].restore(entryName(0))
 		}, true},
+		{"agent killed while its link to another entry is cut", func(c *cluster) {
+			c.relays[1].cut(agentName(0), bothWays)
+			c.agents[0].kill()
+		}, func(c *cluster) {
+			c.agents[0].start(c.t)
+			c.relays[1].restore(agentName(0))
+		}, false},
+		{"log down while a link to an agent is cut", func(c *cluster) {
+			c.logFaults(platform.Faults{Down: true})
+			cutAgent(bothWays)(c)
+		}, func(c *cluster) {
+			restoreAgent(c)
+			c.logFaults(platform.Faults{})
+		}, true},
 	}
-	for _, group := range [][]int{{0, 1, 2}, {3, 4, 5}, {6, 7, 8}} {
+	for _, group := range [][]int{{0, 1, 2}, {3, 4, 5}, {6, 7, 8}, {9, 10}} {
 		t.Run(scenarios[group[0]].name+" and others", func(t *testing.T) {
 			c := newCluster(t)
 			for _, i := range group {
