--- a/proof/fault_test.go
+++ b/proof/fault_test.go
@@ -66,7 +66,7 @@
 				if strings.HasPrefix(s.name, "link to agent") {
 					// Some tasks still run when the agent is asked about them.
 					long := newJob(16, 9000)
-					req.Tasks, span = append(req.Tasks[:1084], long.Tasks...), 7*time.Second
+					req.Tasks, span = append(long.Tasks, req.Tasks[16:]...), 7*time.Second
 				}
 				c.reserve(0, req)
 				mended := make(chan struct{})
