--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -41,8 +42,9 @@
 	dialPeriod   = 500 * clock.Millis(1)
 	expirePeriod = clock.Second
 	drainPoll    = 20 * time.Millisecond
-	// settleTimeout bounds the wait for an entry that has a link but does not answer heartbeats.
-	settleTimeout = 5 * clock.Second
+	// settleTimeout bounds the wait for entries when the agent leaves. It is below the silence after which a link is
+	// closed.
+	settleTimeout = 3 * clock.Second
 	// maxLinks is the number of entries that an agent keeps links with, so that links do not grow with the fleet.
 	maxLinks = 4
 )
@@ -87,7 +89,9 @@
 	entries map[string]string
 	running map[lavendercourse.TaskKey]context.CancelFunc
 	leaving bool
-	watch   watch
+	// asked is the number of the last heartbeat that settle sent.
+	asked uint64
+	watch watch
 	// failing holds the addresses that could not be dialed, so that each is logged once.
 	failing map[string]bool
 }
@@ -155,7 +159,7 @@
 	}
 	a.perform(actions)
 	a.mu.Unlock()
-	// After this, no start is on its way to this agent.
+	// Starts that were on their way when the entries learned that the agent leaves have to be refused first.
 	a.settle(ctx)
 	for a.busy() > 0 {
 		select {
@@ -178,13 +182,14 @@
 func (a *Agent) settle(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout.Duration())
 	defer cancel()
-	const number = 1
 	a.mu.Lock()
-	for name, s := range a.links {
+	a.asked++
+	number, links := a.asked, maps.Clone(a.links)
+	for name, s := range links {
 		a.sendLoad(a.cfg.Clock.Now(), message.TypeBeat, number, name, s)
 	}
 	a.mu.Unlock()
-	for !a.settled(number) {
+	for !a.settled(number, links) {
 		select {
 		case <-ctx.Done():
 			return
@@ -193,11 +198,11 @@
 	}
 }
 
-func (a *Agent) settled(number uint64) bool {
+func (a *Agent) settled(number uint64, links map[string]*entryLink) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, s := range a.links {
-		if s.answered != number {
+	for name, s := range links {
+		if a.links[name] == s && s.answered < number {
 			return false
 		}
 	}
--- a/entry/core.go
+++ b/entry/core.go
@@ -171,6 +171,10 @@
 		parked:   true, announce: true, confirmed: -1,
 	}
 	m.Collect(c.collect)
+	// While the log is down the entry cannot announce itself, but peers that link to it must count it.
+	c.list.Learn(member.Announcement{
+		Name: cfg.Name, Address: cfg.Advertise, Incarnation: string(cfg.Jobs.Incarnation), Region: cfg.Region, Domain: cfg.Domain,
+	})
 	return c
 }
 
@@ -533,7 +537,7 @@
 	}
 	if a.told != c.listed {
 		a.told = c.listed
-		r.Peers = c.peersList()
+		r.Peers = c.agentPeers()
 	}
 	if err := a.link.Send(message.TypeRenew, number, r); err != nil {
 		a.link.Close()
@@ -549,6 +553,15 @@
 	return peers
 }
 
+// agentPeers returns the list that agents are told. Agents give up links to entries that are not on it, so an entry that
+// has not read the list from the log tells them none.
+func (c *core) agentPeers() []message.Peer {
+	if c.list.Offset() == 0 {
+		return nil
+	}
+	return c.peersList()
+}
+
 // wantOf returns the largest declared needs among the tasks of a job.
 func wantOf(j *job.Job) placement.Want {
 	w := placement.Want{Call: j.Spec().Call}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -26,6 +26,10 @@
 	// maxCallRetries bounds how often an idempotent call is sent again.
 	maxCallRetries = 2
 	retryAgain     = clock.Second
+
+	// maxRequest bounds a request in bytes. Requests are forwarded, and payloads sent to agents, in one frame each, which
+	// has other fields too.
+	maxRequest = message.MaxData
 )
 
 var errInvalid = eris.New("invalid request; nothing was run")
@@ -123,12 +127,18 @@
 	if m.GetTeam() == "" || m.GetKind() == "" {
 		return nil, invalid("a call needs a team and a kind")
 	}
-	if n := len(m.GetKind()) + len(m.GetPayload()); n > message.MaxData {
-		return nil, invalid("the call has %d bytes, want at most %d", n, message.MaxData)
+	if n := proto.Size(m); n > maxRequest {
+		return nil, invalid("the call has %d bytes, want at most %d", n, maxRequest)
 	}
 	d.budget.call()
+	var last *lavendercourse.Verdict
 	for try := 0; ; try++ {
 		v, result := d.call(ctx, m)
+		if last != nil && !v.Ran {
+			// The refusal of a retry must not hide that an earlier attempt ran.
+			v = *last
+		}
+		last = &v
 		again := m.GetIdempotent() && v.Outcome == lavendercourse.Failed && v.Reason != lavendercourse.ReasonDeadline
 		if !again || try >= maxCallRetries || ctx.Err() != nil || !d.budget.retry() {
 			return connect.NewResponse(&dispatchv1.CallResponse{Verdict: verdictOf(v), Result: result}), nil
@@ -183,13 +193,13 @@
 	if len(b) <= message.MaxData {
 		return message.Reply{Response: b}
 	}
-	return replyOf(&dispatchv1.SubmitResponse{Verdict: verdictOf(tooLarge("response", len(b)))})
+	return replyOf(&dispatchv1.SubmitResponse{Verdict: verdictOf(tooLarge(len(b)))})
 }
 
-// tooLarge makes no claim about a job whose request or response cannot be forwarded.
-func tooLarge(what string, n int) lavendercourse.Verdict {
+// tooLarge makes no claim about a job whose response cannot be forwarded.
+func tooLarge(n int) lavendercourse.Verdict {
 	return lavendercourse.NoClaim(lavendercourse.ReasonInvalid, fmt.Sprintf(
-		"the %s of %d bytes is too large to be forwarded; ask the entry that issued the id", what, n), 0)
+		"the response of %d bytes is too large to be forwarded; ask the entry that issued the id", n), 0)
 }
 
 // route answers here if this entry owns the job, and asks the owner otherwise. It returns a verdict if the owner has
@@ -203,11 +213,6 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	if len(b) > message.MaxData {
-		v := tooLarge("request", len(b))
-		v.Ran = false
-		return verdictOf(v), nil
-	}
 	r, err := d.peer.forward(ctx, id.Incarnation(), message.Forward{Method: method, Request: b})
 	if err == nil && r.Error == "" {
 		if err := proto.Unmarshal(r.Response, resp); err != nil {
@@ -379,6 +384,8 @@
 func (d *dispatcher) status(id lavendercourse.JobID) *dispatchv1.StatusResponse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	// Without its quorum lease the entry must not tell how a job ended: another one may have declared it gone.
+	d.refresh(d.clock.Now())
 	j, err := d.jobs.Find(id)
 	switch {
 	case eris.Is(err, job.ErrOwner):
@@ -401,6 +408,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
+	d.refresh(now)
 	j, err := d.jobs.Find(id)
 	switch {
 	case eris.Is(err, job.ErrOwner):
@@ -516,6 +524,9 @@
 	if n := len(m.GetTasks()); n < 1 || n > lavendercourse.MaxTasks {
 		return invalid("the job has %d tasks, want 1 to %d", n, lavendercourse.MaxTasks)
 	}
+	if n := proto.Size(m); n > maxRequest {
+		return invalid("the job has %d bytes, want at most %d", n, maxRequest)
+	}
 	for i, t := range m.GetTasks() {
 		if t.GetKind() == "" {
 			return invalid("task %d has no kind", i)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -149,10 +149,12 @@
 
 func (e *Entry) callerRoutes(d *dispatcher) http.Handler {
 	r := mux.NewRouter()
-	traced := connect.WithInterceptors(e.core.cfg.Tracer.Interceptor())
-	path, handler := dispatchv1connect.NewDispatchServiceHandler(d, traced)
+	options := []connect.HandlerOption{
+		connect.WithInterceptors(e.core.cfg.Tracer.Interceptor()), connect.WithReadMaxBytes(message.MaxSize),
+	}
+	path, handler := dispatchv1connect.NewDispatchServiceHandler(d, options...)
 	r.PathPrefix(path).Handler(handler)
-	path, handler = dispatchv1connect.NewOperatorServiceHandler(&operator{core: e.core, follower: e.follower}, traced)
+	path, handler = dispatchv1connect.NewOperatorServiceHandler(&operator{core: e.core, follower: e.follower}, options...)
 	r.PathPrefix(path).Handler(handler)
 	r.HandleFunc("/health", e.health)
 	r.Handle(telemetry.MetricsPath, e.core.measures.metrics)
--- a/entry/link.go
+++ b/entry/link.go
@@ -81,8 +81,12 @@
 	event.LinkOpened.On(r.logger).Str("peer", h.Name).Send()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	peers := r.peersList()
+	if h.Kind == message.KindAgent {
+		peers = r.agentPeers()
+	}
 	err := l.Send(message.TypeWelcome, f.Number, message.Welcome{
-		Name: r.cfg.Name, Incarnation: string(r.jobs.Incarnation()), Peers: r.peersList(),
+		Name: r.cfg.Name, Incarnation: string(r.jobs.Incarnation()), Peers: peers,
 	})
 	if err != nil {
 		return err
