--- a/standin/bench/measure.go
+++ b/standin/bench/measure.go
@@ -60,6 +60,7 @@
 type started struct {
 	run
 	arrival int
+	task    uint32
 	call    bool
 	// cut is set if the worker was killed before the end.
 	cut bool
@@ -89,7 +90,7 @@
 			if !ok && !s.Call {
 				continue
 			}
-			v := started{arrival: i, call: s.Call}
+			v := started{arrival: i, task: s.Task, call: s.Call}
 			v.group, v.begin = groups[s.Domain], s.Time.Sub(r.start)
 			if !s.Call {
 				span := r.trace[i].runs[s.Task].Duration()
--- a/standin/bench/report.go
+++ b/standin/bench/report.go
@@ -96,6 +96,8 @@
 	// Lost are the jobs that were not complete, and Elsewhere those of them with no task cut by the kill.
 	Lost      int `json:"lost"`
 	Elsewhere int `json:"elsewhere"`
+	// Dropped is the work of the tasks of lost jobs that never started. It is part of Possible.
+	Dropped float64 `json:"dropped"`
 }
 
 func newReport(r *runner, f frames) *Report {
@@ -221,6 +223,12 @@
 		}
 	}
 	out.Touched = len(touched)
+	begun := map[[2]int]bool{}
+	for _, s := range all {
+		if !s.call {
+			begun[[2]int{s.arrival, int(s.task)}] = true
+		}
+	}
 	for i, g := range r.got {
 		if r.trace[i].call || g.complete() {
 			continue
@@ -229,6 +237,11 @@
 		if !touched[i] {
 			out.Elsewhere++
 		}
+		for n, run := range r.trace[i].runs {
+			if !begun[[2]int{i, n}] {
+				out.Dropped += run.Duration().Seconds()
+			}
+		}
 	}
 	end := o.back + settleSpan
 	out.Done = work(runs, o.leave, end).Seconds()
@@ -297,6 +310,7 @@
 		p("full use after the return\t%v", time.Duration(o.FullUseMs)*time.Millisecond)
 		p("tasks cut, their jobs\t%d, %d", o.Tasks, o.Touched)
 		p("jobs lost, without a task cut\t%d, %d", o.Lost, o.Elsewhere)
+		p("work of lost jobs that never started\t%.1f task-seconds", o.Dropped)
 	}
 	return t.Flush()
 }
