Tell the entry which version a refused start needs

Cause: after a drain, agents hear the new version from the first entry that has read it. The others send starts with the old version until their next log read, up to 400 ms later. Each was refused and sent again at once, one a round trip.

A refusal for the version now names the version that is needed. The entry reads the log at once and sends that agent nothing until it has the version.

Ruled out: waiting a fixed time after a refusal, which would also delay tasks that another agent would take.

--- a/entry/core.go
+++ b/entry/core.go
@@ -81,10 +81,12 @@
 	leaseStart clock.Millis
 	confirmed  clock.Millis
 	gate       uint64
-	held       bool
-	parked     bool
-	stopping   bool
-	announce   bool
+	// behind wakes the follower when an agent knows a newer configuration.
+	behind   chan struct{}
+	held     bool
+	parked   bool
+	stopping bool
+	announce bool
 }
 
 func newCore(cfg Config) *core {
@@ -106,6 +108,7 @@
 		flights: map[placement.Attempt]flight{},
 		waiters: map[lavendercourse.JobID]chan struct{}{},
 		past:    map[lavendercourse.Incarnation]clock.Millis{},
+		behind:  make(chan struct{}, 1),
 		parked:  true, announce: true,
 	}
 	return c
@@ -249,6 +252,13 @@
 		return err
 	}
 	c.fleet.Report(agent, d.Load)
+	if d.Version > c.gate {
+		c.fleet.Need(agent, d.Version)
+		select {
+		case c.behind <- struct{}{}:
+		default:
+		}
+	}
 	at := placement.Attempt{Key: lavendercourse.NewTaskKey(id, d.Task), Attempt: d.Attempt}
 	f, ok := c.flights[at]
 	if !ok || f.agent != agent {
@@ -323,6 +333,7 @@
 // configured applies a change of the configuration.
 func (c *core) configured() {
 	c.gate = c.state.Gate()
+	c.fleet.SetVersion(c.gate)
 	c.fleet.SetDrained(c.state.Domains())
 	for name, t := range c.state.Teams() {
 		l := admission.Limits{Weight: t.Weight, Share: c.shareOf(t.Quota)}
--- a/message/body.go
+++ b/message/body.go
@@ -120,6 +120,8 @@
 	// Run is the run time in ms.
 	Run  clock.Millis `cbor:"run,omitempty"`
 	Load Load         `cbor:"load"`
+	// Version is the configuration version that a refused start should have carried, or 0.
+	Version uint64 `cbor:"version,omitempty"`
 }
 
 // Task names one attempt of a task in a stop or resume.
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -37,8 +37,10 @@
 	load    message.Load
 	home    bool
 	leaving bool
-	health  health
-	index   int
+	// need is the configuration version without which the agent refuses starts.
+	need   uint64
+	health health
+	index  int
 }
 
 // Hello returns what the agent said of itself.
@@ -68,6 +70,7 @@
 	order      []*Agent
 	candidates []lavendercourse.Candidate
 	drained    map[string]bool
+	version    uint64
 	rng        *rand.Rand
 }
 
@@ -141,6 +144,17 @@
 // SetDrained sets the failure domains that are out of service.
 func (f *Fleet) SetDrained(domains map[string]bool) { f.drained = domains }
 
+// SetVersion sets the configuration version that starts will carry.
+func (f *Fleet) SetVersion(version uint64) { f.version = version }
+
+// Need takes note that an agent refuses starts below a configuration version. Until the entry has that version, every
+// start would be refused, so none is sent.
+func (f *Fleet) Need(name string, version uint64) {
+	if a := f.agents[name]; a != nil {
+		a.need = max(a.need, version)
+	}
+}
+
 // SetHomes sets the agents that prefer this entry.
 func (f *Fleet) SetHomes(homes map[string]string) {
 	for name, a := range f.agents {
@@ -226,7 +240,7 @@
 }
 
 func (f *Fleet) usable(now clock.Millis, a *Agent, want Want, bound int) bool {
-	if a.leaving || f.drained[a.hello.Domain] || !want.fits(a.hello) || a.hello.Name == want.Avoid {
+	if a.leaving || a.need > f.version || f.drained[a.hello.Domain] || !want.fits(a.hello) || a.hello.Name == want.Avoid {
 		return false
 	}
 	if want.Call {
--- /dev/null
+++ b/placement/need_test.go
@@ -0,0 +1,32 @@
+package placement_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/placement"
+)
+
+// Guards against starts that are sent to an agent which refuses them until the entry has a newer configuration.
+func TestPickSkipsAgentThatNeedsNewerVersion(t *testing.T) {
+	policy, err := placement.NewPolicy("home")
+	assert.NilError(t, err)
+	f := placement.New(placement.Config{Policy: policy, Entry: "entry"})
+	f.Join(0, message.Hello{Name: "a", Incarnation: "1", Slots: 8, Connections: 64})
+	picked := func() bool {
+		_, ok := f.Pick(1, placement.Want{})
+		return ok
+	}
+	f.SetVersion(3)
+	assert.Assert(t, picked())
+	f.Need("a", 4)
+	assert.Assert(t, !picked())
+	f.SetVersion(4)
+	assert.Assert(t, picked())
+	f.Need("a", 5)
+	assert.Assert(t, !picked())
+	f.Join(2, message.Hello{Name: "a", Incarnation: "2", Slots: 8, Connections: 64})
+	assert.Assert(t, picked(), "a new incarnation has no need yet")
+}
--- a/slot/table.go
+++ b/slot/table.go
@@ -64,6 +64,9 @@
 	return c
 }
 
+// oldVersion is why a start is refused that was decided under an old failure domain state.
+const oldVersion = "start was decided under an old failure domain state"
+
 type state uint8
 
 const (
@@ -315,7 +318,7 @@
 	case s.Stamp > now || now-s.Stamp > t.cfg.Validity:
 		return "start has expired"
 	case s.Version < t.version:
-		return "start was decided under an old failure domain state"
+		return oldVersion
 	case t.running+t.calls >= t.cfg.Connections && s.Call:
 		return "no connection is free"
 	case !s.Call && t.running >= t.cfg.Slots && t.pending >= t.cfg.Slots:
@@ -445,6 +448,9 @@
 		Job: n.start.Job, Task: n.start.Task, Attempt: n.start.Attempt,
 		Status: message.StatusRefused, Error: why,
 	}
+	if why == oldVersion {
+		n.done.Version = t.version
+	}
 	n.kept = true
 	t.retire(now, n)
 	return t.reply(n)
--- /dev/null
+++ b/slot/version_test.go
@@ -0,0 +1,35 @@
+package slot_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/slot"
+)
+
+// Guards against a refusal from which the entry cannot tell that it needs a newer configuration: it would send the
+// start again and again.
+func TestRefusalTellsVersion(t *testing.T) {
+	table := slot.New(slot.Config{Incarnation: "agent"})
+	start := func(sequence, version uint64) message.Done {
+		id := lavendercourse.NewJobID("entry", sequence, "tag")
+		actions, err := table.Start(1000, "entry", message.Start{
+			Job: id.String(), Attempt: 1, Agent: "agent", Stamp: 1000, Version: version,
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, len(actions), 1)
+		reply, _ := actions[0].(slot.Reply)
+		return reply.Done
+	}
+	assert.Equal(t, start(1, 7).Status, message.Status(0))
+	old := start(2, 6)
+	assert.Equal(t, old.Status, message.StatusRefused)
+	assert.Equal(t, old.Version, uint64(7))
+	table.Leave(1000)
+	leaving := start(3, 6)
+	assert.Equal(t, leaving.Status, message.StatusRefused)
+	assert.Equal(t, leaving.Version, uint64(0))
+}
