Grant windows that the agent accepts, in even shares

Cause: the window followed the share of an entry in all backlogs. While others held the slots, an entry with a long backlog filled all 8 pending places of an agent, and its window still allowed more. Each further start was refused for lack of room and sent again at once. The pending tasks were also bound early and held up short jobs of other entries.

A window is now an even share among the entries with a backlog, or what the entry has and what is free, plus one, and at most what would be accepted.

--- a/slot/table.go
+++ b/slot/table.go
@@ -290,25 +290,37 @@
 	return message.Load{Running: t.running, Pending: t.pending, Calls: t.calls, Window: t.window(entry)}
 }
 
-// window shares the slots among the entries by their backlog. Each may have one task more than its share waiting here,
-// which starts as soon as a slot frees.
+// window tells how many unfinished tasks the entry may have here. It is never more than would be accepted, since an
+// entry sends a refused start again as soon as its window allows.
 func (t *Table) window(entry string) int {
 	if t.leaving {
 		return 0
 	}
-	me, hungry, used := t.use(entry), 0, 0
+	free := max(t.cfg.Slots-t.running, 0)
+	accepted := t.use(entry).busy() + free + max(t.cfg.Slots-t.pending, 0)
+	return min(t.share(entry, free)+1, accepted)
+}
+
+// share is the number of slots that the entry may count on. The window has room for one task more, which starts as soon
+// as a slot frees. While other entries have a backlog, that is an even share, or what the entry has and what is free if
+// this is more. Shares do not follow the lengths of the backlogs: then an entry with a long one would bind many tasks to
+// agents whose slots others hold, and hold up the short ones.
+func (t *Table) share(entry string, free int) int {
+	hungry, used := 0, 0
 	for name, u := range t.entries {
 		if name == entry {
 			continue
 		}
-		hungry += u.backlog
+		if u.backlog > 0 {
+			hungry++
+		}
 		used += u.busy()
 	}
 	if hungry == 0 {
-		return max(t.cfg.Slots-used, 0) + 1
+		return max(t.cfg.Slots-used, 0)
 	}
-	total := hungry + me.backlog
-	return (t.cfg.Slots*me.backlog+total-1)/total + 1
+	even := (t.cfg.Slots + hungry) / (hungry + 1)
+	return max(even, t.use(entry).running+free)
 }
 
 func (t *Table) refusal(now clock.Millis, s message.Start) string {
