--- a/entry/core.go
+++ b/entry/core.go
@@ -134,8 +134,10 @@
 	leaseStart clock.Millis
 	confirmed  clock.Millis
 	// turned is the time at which an agent last refused a start.
-	turned   clock.Millis
-	gate     uint64
+	turned clock.Millis
+	gate   uint64
+	// behind wakes the follower when an agent knows a newer configuration.
+	behind   chan struct{}
 	held     bool
 	parked   bool
 	stopping bool
@@ -168,6 +170,7 @@
 		spans:    map[lavendercourse.JobID]trace.Span{},
 		declared: map[lavendercourse.Incarnation]clock.Millis{},
 		drained:  map[string]bool{},
+		behind:   make(chan struct{}, 1),
 		parked:   true, announce: true, confirmed: -1,
 	}
 	m.Collect(c.collect)
@@ -358,6 +361,13 @@
 	}
 	c.agents[agent].stamp(now, d.Load.Stamp)
 	c.fleet.Report(now, agent, d.Load)
+	if d.Version > c.gate {
+		c.fleet.Need(agent, d.Version)
+		select {
+		case c.behind <- struct{}{}:
+		default:
+		}
+	}
 	at := placement.Attempt{Key: lavendercourse.NewTaskKey(id, d.Task), Attempt: d.Attempt}
 	f, ok := c.flights[at]
 	if !ok || f.agent != agent {
@@ -450,6 +460,7 @@
 // configured applies a change of the configuration.
 func (c *core) configured() {
 	c.gate = c.state.Gate()
+	c.fleet.SetVersion(c.gate)
 	drained := c.state.Domains()
 	c.logDomains(drained)
 	c.drained = drained
--- a/slot/table.go
+++ b/slot/table.go
@@ -67,7 +67,11 @@
 }
 
 // downText is the cause of refusals while the backend server does not answer.
-const downText = "backend server does not answer"
+const (
+	downText = "backend server does not answer"
+	// oldVersion is why a start is refused that was decided under an old failure domain state.
+	oldVersion = "start was decided under an old failure domain state"
+)
 
 type state uint8
 
@@ -418,7 +422,7 @@
 	case s.Stamp > now || now-s.Stamp > t.cfg.Validity:
 		return "start has expired"
 	case s.Version < t.version:
-		return "start was decided under an old failure domain state"
+		return oldVersion
 	case t.running+t.calls >= t.cfg.Connections && s.Call:
 		return "no connection is free"
 	case !s.Call && !t.free() && (!s.Wait || t.pending >= t.cfg.Slots):
@@ -553,6 +557,9 @@
 		Job: n.start.Job, Task: n.start.Task, Attempt: n.start.Attempt,
 		Status: message.StatusRefused, Error: why,
 	}
+	if why == oldVersion {
+		n.done.Version = t.version
+	}
 	n.kept = true
 	t.retire(now, n)
 	return t.reply(n)
