--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -128,7 +128,17 @@
 	return p.done
 }
 
-func (p *process) pause()  { _ = p.signal(syscall.SIGSTOP) }
+// pause stops the process and waits until it is stopped, so that it cannot answer what is sent to it from now on.
+func (p *process) pause() {
+	_ = p.signal(syscall.SIGSTOP)
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+		if err != nil || strings.Contains(string(b), ") T ") {
+			return
+		}
+	}
+}
+
 func (p *process) resume() { _ = p.signal(syscall.SIGCONT) }
 
 func (p *process) kill() {
