Split the largest files, wire traces and agent metrics into the settings

The settings have trace.exporter, trace.endpoint, trace.share and agent.metrics. After a link was made again, an entry also repeats the stop of tasks whose job has ended meanwhile, since the first one may have been lost with the link.

--- a/command/entry.go
+++ b/command/entry.go
@@ -11,6 +11,7 @@
 	"github.com/lavendercourse/lavendercourse/placement"
 	"github.com/lavendercourse/lavendercourse/platform"
 	"github.com/lavendercourse/lavendercourse/settings"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 func newEntry(c *common) *cobra.Command {
@@ -23,16 +24,20 @@
 			if err != nil {
 				return err
 			}
-			e, err := startEntry(s, logger)
+			tracer, err := c.tracer(cmd.Context(), s.Trace, settings.RoleEntry, s.Entry.Name)
 			if err != nil {
 				return failure(ExitFailed, "entry did not start: %v", err)
 			}
-			return serve(cmd.Context(), "entry", e.Stop)
+			e, err := startEntry(s, logger, tracer)
+			if err != nil {
+				return failure(ExitFailed, "entry did not start: %v", err)
+			}
+			return serve(cmd.Context(), "entry", e.Stop, tracer)
 		},
 	}
 }
 
-func startEntry(s settings.Settings, logger zerolog.Logger) (*entry.Entry, error) {
+func startEntry(s settings.Settings, logger zerolog.Logger, tracer *telemetry.Tracer) (*entry.Entry, error) {
 	policy, err := placement.NewPolicy(s.Entry.Policy)
 	if err != nil {
 		return nil, err
@@ -55,6 +60,6 @@
 		Callers: callers, Links: links, Advertise: advertise, Seeds: s.Entry.Seeds,
 		Log:       platform.New(platform.Config{Address: s.Platform.Address, Timeout: s.Platform.Timeout}),
 		Retention: s.Platform.Retention, Policy: policy, Jobs: s.Limits.Jobs, Queue: s.Limits.Queue, Quorum: s.Member,
-		Clock: clock.NewSystem(), Logger: logger,
+		Clock: clock.NewSystem(), Logger: logger, Tracer: tracer,
 	})
 }
--- a/command/root.go
+++ b/command/root.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lavendercourse/lavendercourse/settings"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 const (
@@ -136,6 +137,14 @@
 	return s, zerolog.New(c.errOut).Level(level).With().Timestamp().Logger(), nil
 }
 
+// tracer returns the tracer of a daemon, which is nil if traces are off.
+func (c *common) tracer(ctx context.Context, s settings.Trace, role settings.Role, name string) (*telemetry.Tracer, error) {
+	return telemetry.NewTracer(ctx, telemetry.TraceConfig{
+		Exporter: s.Exporter, Endpoint: "http://" + s.Endpoint, Share: float64(s.Share) / 100,
+		Process: string(role), Name: name, Out: c.out,
+	})
+}
+
 // within bounds a command by --timeout.
 func (c *common) within(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, c.timeout)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/protobuf/proto"
@@ -196,12 +194,6 @@
 	return replyOf(&dispatchv1.SubmitResponse{Verdict: verdictOf(tooLarge(len(b)))})
 }
 
-// tooLarge makes no claim about a job whose response cannot be forwarded.
-func tooLarge(n int) lavendercourse.Verdict {
-	return lavendercourse.NoClaim(lavendercourse.ReasonInvalid, fmt.Sprintf(
-		"the response of %d bytes is too large to be forwarded; ask the entry that issued the id", n), 0)
-}
-
 // route answers here if this entry owns the job, and asks the owner otherwise. It returns a verdict if the owner has
 // not answered.
 func (d *dispatcher) route(ctx context.Context, id lavendercourse.JobID, method string, req, resp proto.Message, here func()) (*dispatchv1.Verdict, error) {
@@ -463,92 +455,3 @@
 	}
 	return job.DefaultReserve
 }
-
-func ownerGone() lavendercourse.Verdict {
-	return lavendercourse.Verdict{
-		Outcome: lavendercourse.Failed, Reason: lavendercourse.ReasonOwner, Ran: true,
-		Message: "the entry that owned the job is gone; tasks may have run and will not be started again",
-	}
-}
-
-// noLease is told about an ended job while another entry may have declared this one gone.
-func noLease() lavendercourse.Verdict {
-	return lavendercourse.NoClaim(lavendercourse.ReasonAgain, "the owner of the job has no quorum lease at the moment", retryAgain)
-}
-
-func stillRunning() lavendercourse.Verdict {
-	return lavendercourse.NoClaim(lavendercourse.ReasonAgain, "the wait ended before the job; ask again with the same id", 1)
-}
-
-func verdictOf(v lavendercourse.Verdict) *dispatchv1.Verdict {
-	ran := dispatchv1.Ran_RAN_SOME
-	if v.Outcome == lavendercourse.Refused || (v.Outcome != lavendercourse.Complete && !v.Ran) {
-		ran = dispatchv1.Ran_RAN_NOTHING
-	}
-	return &dispatchv1.Verdict{
-		Outcome: dispatchv1.Outcome(v.Outcome), Reason: dispatchv1.Reason(v.Reason), Ran: ran,
-		Message: v.Message, RetryMs: uint32(v.Retry),
-	}
-}
-
-func specOf(m *dispatchv1.SubmitRequest) job.Spec {
-	s := job.Spec{
-		Team: m.GetTeam(), Class: lavendercourse.Batch, Deadline: clock.Millis(m.GetDeadlineMs()), Digest: digest(m),
-		Tasks: make([]job.Task, len(m.GetTasks())),
-	}
-	if m.GetClass() == dispatchv1.Class_CLASS_QUICK {
-		s.Class = lavendercourse.Quick
-	}
-	for i, t := range m.GetTasks() {
-		s.Tasks[i] = job.Task{
-			Kind: t.GetKind(), Payload: t.GetPayload(), Declared: clock.Millis(t.GetDeclaredMs()),
-			Memory: int(t.GetMemoryMb()), Cores: int(t.GetCores()),
-		}
-	}
-	return s
-}
-
-// digest tells the bodies of two submissions apart.
-func digest(m *dispatchv1.SubmitRequest) uint64 {
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
-	if err != nil {
-		return 0
-	}
-	return xxhash.Sum64(b)
-}
-
-func checkSubmit(m *dispatchv1.SubmitRequest) error {
-	if m.GetTeam() == "" {
-		return invalid("a job needs a team")
-	}
-	if n := len(m.GetTasks()); n < 1 || n > lavendercourse.MaxTasks {
-		return invalid("the job has %d tasks, want 1 to %d", n, lavendercourse.MaxTasks)
-	}
-	if n := proto.Size(m); n > maxRequest {
-		return invalid("the job has %d bytes, want at most %d", n, maxRequest)
-	}
-	for i, t := range m.GetTasks() {
-		if t.GetKind() == "" {
-			return invalid("task %d has no kind", i)
-		}
-		if n := len(t.GetKind()) + len(t.GetPayload()); n > message.MaxData {
-			return invalid("task %d has %d bytes, want at most %d", i, n, message.MaxData)
-		}
-	}
-	return nil
-}
-
-func parseID(s string) (lavendercourse.JobID, error) {
-	if s == "" {
-		return lavendercourse.JobID{}, invalid("a job needs an id from Reserve, so that a resubmission can be recognised")
-	}
-	id, err := lavendercourse.ParseJobID(s)
-	if err != nil {
-		return id, invalid("%v", err)
-	}
-	return id, nil
-}
-
-func invalid(format string, args ...any) error {
-	return connect.NewError(connect.CodeInvalidArgument, eris.Wrap(errInvalid, fmt.Sprintf(format, args...)))
-}
--- a/entry/link.go
+++ b/entry/link.go
@@ -157,9 +157,17 @@
 	if len(attempts) == 0 {
 		return
 	}
+	var stops []message.Task
 	tasks := make([]message.Task, len(attempts))
 	for i, at := range attempts {
 		tasks[i] = message.Task{Job: at.Key.Job().String(), Task: at.Key.Task(), Attempt: at.Attempt}
+		if j, err := r.jobs.Find(at.Key.Job()); err != nil || j.Ended() {
+			stops = append(stops, tasks[i])
+		}
+	}
+	if len(stops) > 0 {
+		// The stop that was sent when the job ended may have been lost with the link.
+		r.send(name, message.TypeStop, message.Stop{Tasks: stops})
 	}
 	event.AgentResumed.On(r.logger).Str("agent", name).Int("tasks", len(tasks)).Send()
 	r.send(name, message.TypeResume, message.Resume{Tasks: tasks})
--- a/settings/field.go
+++ b/settings/field.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/placement"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // Role is the daemon that a file is read for.
@@ -37,7 +38,7 @@
 	return []field{
 		{"place", "region", name{&p.Region}, "", "region of the process", both},
 		{"place", "domain", name{&p.Domain}, "", "failure domain of the process", both},
-		{"place", "rack", name{&p.Rack}, "", "rack of the worker; jobs are spread over racks", nil},
+		{"place", "rack", name{&p.Rack}, "", "rack of the worker", nil},
 
 		{"entry", "name", name{&e.Name}, "", "name of the entry, unique among the entries", entry},
 		{"entry", "callers", address{&e.Callers}, "", "host and port for callers and operators; port 0 lets the system choose", entry},
@@ -49,6 +50,7 @@
 		{"agent", "name", name{&a.Name}, "", "name of the agent, unique among the agents", agent},
 		{"agent", "entries", addresses{&a.Entries}, "", "links of entries, separated by commas, used to find all others", agent},
 		{"agent", "worker", address{&a.Worker}, "", "host and port of the backend server", agent},
+		{"agent", "metrics", address{&a.Metrics}, "", "host and port that serve /metrics and /health; empty means none", nil},
 		{"agent", "slots", number{&s.Slot.Slots, 1, 1024}, "", "tasks that run at once", nil},
 		{"agent", "connections", number{&s.Slot.Connections, 1, 65536}, "", "tasks and calls that run at once", nil},
 		{"agent", "memory", number{&a.Memory, 0, 1 << 24}, "MB", "memory of the worker; 0 means not known", nil},
@@ -78,6 +80,8 @@
 
 		{"log", "level", choice{&s.Log.Level, []string{"debug", "info", "warn", "error"}}, "", "lowest level of the log lines", nil},
 
-		{"trace", "exporter", choice{&s.Trace.Exporter, []string{"none"}}, "", "where traces are sent", nil},
+		{"trace", "exporter", choice{&s.Trace.Exporter, telemetry.Exporters}, "", "where traces are sent", nil},
+		{"trace", "endpoint", address{&s.Trace.Endpoint}, "", "host and port of the OTLP/HTTP collector of the exporter otlp", nil},
+		{"trace", "share", number{&s.Trace.Share, 0, 100}, "percent", "traces begun in this process that are recorded; a trace begun elsewhere is recorded if its sender does so", nil},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,6 +11,7 @@
 	"github.com/lavendercourse/lavendercourse/placement"
 	"github.com/lavendercourse/lavendercourse/platform"
 	"github.com/lavendercourse/lavendercourse/slot"
+	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
 // ErrSettings is returned for a file that cannot be used.
@@ -54,6 +55,8 @@
 	// Memory of the worker in MB, and its processor cores. 0 means not known.
 	Memory int
 	Cores  int
+	// Metrics is the address that serves metrics, or empty.
+	Metrics string
 }
 
 // Platform holds the settings of the platform's log service.
@@ -77,6 +80,10 @@
 // Trace holds the settings of traces.
 type Trace struct {
 	Exporter string
+	// Endpoint is the host and port of an OTLP/HTTP collector.
+	Endpoint string
+	// Share is the share of traces begun here that are recorded, in percent.
+	Share int
 }
 
 // Default returns the settings that a file may override.
@@ -98,6 +105,6 @@
 			Lease: slot.DefaultLease, Memory: slot.DefaultMemory, Keep: slot.DefaultKeep, KeepBytes: slot.DefaultKeepBytes,
 		},
 		Log:   Log{Level: "info"},
-		Trace: Trace{Exporter: "none"},
+		Trace: Trace{Exporter: telemetry.ExportNone, Endpoint: "127.0.0.1:4318", Share: 1},
 	}
 }
--- a/slot/table.go
+++ b/slot/table.go
@@ -204,35 +204,6 @@
 	return append(actions, t.offer(n.entry)...)
 }
 
-// offer tells an entry of a free slot that nothing here waits for, unless the entry that gets an answer now will take
-// it. Without this, an entry learns only by its own answers and by heartbeats that the tasks of others have ended. An
-// entry is told once for each time it reports its backlog.
-func (t *Table) offer(answered string) []Action {
-	if t.leaving || t.pending > 0 || !t.free() || t.wants(answered) {
-		return nil
-	}
-	chosen := ""
-	for name, u := range t.entries {
-		if name == answered || u.told || !t.wants(name) {
-			continue
-		}
-		if c := t.entries[chosen]; c == nil || u.backlog > c.backlog || (u.backlog == c.backlog && name < chosen) {
-			chosen = name
-		}
-	}
-	if chosen == "" {
-		return nil
-	}
-	t.entries[chosen].told = true
-	return []Action{Tell{Entry: chosen}}
-}
-
-// wants tells whether an entry has tasks waiting and may have one more here.
-func (t *Table) wants(entry string) bool {
-	u := t.entries[entry]
-	return u != nil && u.backlog > 0 && u.busy() < t.window(entry)
-}
-
 // Stop handles a request to stop tasks. Tasks not seen yet are barred from starting.
 func (t *Table) Stop(now clock.Millis, entry string, tasks []message.Task) ([]Action, error) {
 	var actions []Action
@@ -373,46 +344,6 @@
 	return message.Load{Running: t.running, Pending: t.pending, Calls: t.calls, Window: t.window(entry)}
 }
 
-// window returns the number of tasks that an entry may have here. Entries with tasks waiting share the slots evenly,
-// however many wait, so that a large job at one entry does not hold up the small ones at the others. What an entry does
-// not use is left to the rest: a slot that frees is kept for an entry below its share only until it was told once.
-//
-// Every entry may have one task here, so that it gets to know when others leave slots to it. None may have more than
-// there are slots: a task that waits here cannot take a slot that frees elsewhere, which costs far more time than the
-// round trip for which a slot is idle without a task that waits.
-func (t *Table) window(entry string) int {
-	if t.leaving || t.down {
-		return 0
-	}
-	share := t.share(entry)
-	left := t.cfg.Slots
-	for name, u := range t.entries {
-		if name == entry {
-			continue
-		}
-		left -= u.busy()
-		if u.backlog > 0 && !u.told && u.busy() < share {
-			left--
-		}
-	}
-	return max(left, share)
-}
-
-// share returns the even part of the slots for an entry, among itself and the others that have tasks waiting. It is 1 if
-// no other has, since then the entry gets what is left anyway.
-func (t *Table) share(entry string) int {
-	hungry := 1
-	for name, u := range t.entries {
-		if name != entry && u.backlog > 0 {
-			hungry++
-		}
-	}
-	if hungry == 1 {
-		return 1
-	}
-	return max(t.cfg.Slots/hungry, 1)
-}
-
 func (t *Table) refusal(now clock.Millis, s message.Start) string {
 	switch {
 	case t.leaving:
@@ -565,31 +496,6 @@
 	return t.reply(n)
 }
 
-// retire moves a task from the active ones to the remembered ones.
-func (t *Table) retire(now clock.Millis, n *task) {
-	delete(t.active, n.key)
-	n.ended = now
-	n.start.Payload = nil
-	t.past = append(t.past, n)
-}
-
-// keep retains the result of an ended task for a resume, within the bound on bytes.
-func (t *Table) keep(n *task) {
-	t.kept = append(t.kept, n)
-	t.bytes += len(n.done.Result)
-	for t.bytes > t.cfg.KeepBytes {
-		t.dropOldest()
-	}
-}
-
-func (t *Table) dropOldest() {
-	n := t.kept[0]
-	t.kept = t.kept[1:]
-	t.bytes -= len(n.done.Result)
-	n.done.Result = nil
-	n.kept = n.done.Status != message.StatusDone
-}
-
 func (t *Table) reply(n *task) Action {
 	done := n.done
 	if !n.kept {
@@ -600,33 +506,6 @@
 	return Reply{Entry: n.entry, Done: done}
 }
 
-func (t *Table) trim(now clock.Millis) {
-	for len(t.kept) > 0 && now-t.kept[0].ended > t.cfg.Keep {
-		t.dropOldest()
-	}
-	for len(t.past) > 0 && now-t.past[0].ended > t.cfg.Memory {
-		n := t.past[0]
-		t.past = t.past[1:]
-		if t.tasks[n.key] == n {
-			delete(t.tasks, n.key)
-		}
-	}
-	for inc, at := range t.leases {
-		if now-at > t.cfg.Memory {
-			delete(t.leases, inc)
-		}
-	}
-	for name, u := range t.entries {
-		if *u == (entryUse{}) {
-			delete(t.entries, name)
-		}
-	}
-}
-
-func (t *Table) forget(key lavendercourse.TaskKey) {
-	delete(t.tasks, key)
-}
-
 // report takes note of the number of tasks that wait at an entry.
 func (t *Table) report(entry string, backlog int) {
 	u := t.use(entry)
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -23,6 +23,9 @@
 	ExportOTLP   = "otlp"
 )
 
+// Exporters are the names that TraceConfig takes.
+var Exporters = []string{ExportNone, ExportStdout, ExportOTLP}
+
 const scope = "github.com/lavendercourse/lavendercourse/telemetry"
 
 // ErrExporter is returned for an exporter that does not exist or cannot be set up.
