Ask an agent for its load before many tasks are sent to it

Cause: when a large job overflows to agents that prefer another entry, the entry knows their free slots from a report that may be seconds old. It sent as many starts as there had been free slots then; each one beyond costs two messages.

Change: with four or more tasks waiting, an agent that runs no task of this entry and whose free slots were reported more than 50 ms ago is asked for its load first.

--- a/entry/config.go
+++ b/entry/config.go
@@ -29,6 +29,7 @@
 const (
 	tickPeriod     = 100 * clock.Millis(1)
 	pulsePeriod    = clock.Second
+	sweepPeriod    = clock.Second
 	logPeriod      = 400 * clock.Millis(1)
 	announcePeriod = 10 * clock.Second
 	// goneAfter is the time without a link after which the fate of an agent's tasks is unknown. The agent stops them
--- a/entry/core.go
+++ b/entry/core.go
@@ -34,6 +34,10 @@
 	silentAfter = 8 * clock.Second
 	// refusalMemory is the time in ms after a refusal for which starts may wait at an agent.
 	refusalMemory = 100 * clock.Millis(1)
+	// probeBacklog is the number of waiting tasks from which on agents are asked for their load before they get any, and
+	// probeAge the age in ms of a report above which they are.
+	probeBacklog = 4
+	probeAge     = 50 * clock.Millis(1)
 	// maxSkipped bounds the jobs that are passed over because no worker with room fits them.
 	maxSkipped = 16
 	// nudgePeriod is the least time in ms between two requests for a heartbeat.
@@ -78,6 +82,8 @@
 	// turned is the time at which an agent last refused a start.
 	turned clock.Millis
 	gate   uint64
+	// swept is the time of the last sweep.
+	swept clock.Millis
 	// behind wakes the follower when an agent knows a newer configuration.
 	behind   chan struct{}
 	held     bool
@@ -213,6 +219,15 @@
 	c.refresh(now)
 	c.jobs.Expire(now)
 	c.settle()
+	if now-c.swept >= sweepPeriod {
+		c.swept = now
+		c.sweep(now)
+	}
+	c.pump(now)
+}
+
+// sweep looks through the agents for those that are gone, and forgets what is no longer needed.
+func (c *core) sweep(now clock.Millis) {
 	for name, a := range c.agents {
 		if a.link != nil && now-a.heard > silentAfter && c.fleet.Agent(name).Sent() > 0 {
 			a.link.Close()
@@ -237,7 +252,6 @@
 			delete(c.past, inc)
 		}
 	}
-	c.pump(now)
 }
 
 // relisted applies a change of the entries list, if there is one.
--- a/entry/pump.go
+++ b/entry/pump.go
@@ -65,7 +65,7 @@
 		_, ok := c.agents[agent].newest(now, c.confirmed)
 		return ok
 	}
-	choice, ok := c.fleet.Pick(now, want)
+	choice, ok := c.pick(now, want, q.Waiting())
 	if !ok {
 		return false
 	}
@@ -92,6 +92,22 @@
 	return true
 }
 
+// pick returns the agent for the next task. With many tasks waiting, an agent whose free slots were last heard of some
+// time ago is asked for its load first: all of them would go there, and those that find no slot cost two messages each.
+// For a few tasks, the question costs more than it saves.
+func (c *core) pick(now clock.Millis, want placement.Want, waiting int) (placement.Choice, bool) {
+	for {
+		choice, ok := c.fleet.Pick(now, want)
+		if !ok || want.Call || waiting < probeBacklog || !c.fleet.Doubtful(now, choice.Agent, probeAge) {
+			return choice, ok
+		}
+		a := c.agents[choice.Agent]
+		a.nudged = now
+		c.renew(a, 0, true)
+		c.fleet.Pause(now, choice.Agent)
+	}
+}
+
 // waits tells whether a start may wait at the agent for a slot. Otherwise the agent refuses it if no slot is free, and it
 // is sent elsewhere. After one refusal the next attempt waits, since the other agents are probably full too and each
 // refusal costs two messages.
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -154,6 +154,13 @@
 	}
 }
 
+// Doubtful tells whether the free slots of an agent were reported longer ago than the given span, and no task of this
+// entry is there whose end would tell of them.
+func (f *Fleet) Doubtful(now clock.Millis, name string, span clock.Millis) bool {
+	a := f.agents[name]
+	return a != nil && a.tasks() == 0 && now-a.reported > span && a.load.Running+a.load.Pending < a.hello.Slots
+}
+
 // SetLeaving takes note that an agent takes no more work.
 func (f *Fleet) SetLeaving(name string) {
 	if a := f.agents[name]; a != nil {
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -225,3 +225,30 @@
 	assert.Equal(t, f.Agent("a").Sent(), 0)
 	assert.Assert(t, !f.Ended(base, "a", attempt(1), false, Ending{Status: message.StatusDone}))
 }
+
+// Guards against many tasks that are sent to an agent whose free slots were last heard of long ago, and against
+// questions to agents that are known to be full or tell of themselves.
+func TestDoubtful(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		load message.Load
+		age  clock.Millis
+		own  int
+		want bool
+	}{
+		{"old report of free slots", message.Load{Running: 3, Window: 5}, 51, 0, true},
+		{"new report of free slots", message.Load{Running: 3, Window: 5}, 50, 0, false},
+		{"old report of no free slot", message.Load{Running: 8, Window: 1}, 1000, 0, false},
+		{"a task of this entry will tell", message.Load{Running: 3, Window: 5}, 1000, 1, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := New(Config{})
+			f.Join(0, message.Hello{Name: "a", Incarnation: "i", Slots: 8})
+			for i := range tc.own {
+				f.Sent(0, "a", attempt(i), false)
+			}
+			f.Report(0, "a", tc.load)
+			assert.Equal(t, f.Doubtful(tc.age, "a", 50), tc.want)
+		})
+	}
+}
