--- a/proof/process/domain_test.go
+++ b/proof/process/domain_test.go
@@ -84,10 +84,12 @@
 		t.Run(scenarios[group[0]].name+" and others", func(t *testing.T) {
 			c := newCluster(t)
 			l := c.newLoad(16, 40)
+			var own *load
 			for _, i := range group {
 				s := scenarios[i]
 				c.resumes("south")
 				if s.unaware {
+					own = c.newLoadOn(0, 4, 40)
 					c.entries[0].pause()
 				}
 				_, accepted := c.setDomain(1, "south", true)
@@ -101,6 +103,10 @@
 				c.ready()
 			}
 			l.stop()
+			if own != nil {
+				own.stop()
+				check(t, own.judge(c.journal()))
+			}
 			t.Log(l.outcomes())
 			check(t, l.judge(c.journal()))
 			// A drain costs no job, and neither do the faults of the first group, which are shorter than the quorum lease.
--- a/proof/process/load_test.go
+++ b/proof/process/load_test.go
@@ -66,10 +66,23 @@
 
 // newLoad starts the callers. Each job has four tasks.
 func (c *cluster) newLoad(callers, ms int) *load {
+	return startLoad(callers, ms, func() *caller.Client {
+		return caller.New(caller.Config{Address: "balancer.invalid", Block: 1, HTTP: c.balanced(false)})
+	})
+}
+
+// newLoadOn starts callers that use one entry only, so that it gets work even while it is cut off from the others.
+func (c *cluster) newLoadOn(entry, callers, ms int) *load {
+	return startLoad(callers, ms, func() *caller.Client {
+		return caller.New(caller.Config{Address: c.callers[entry], Block: 1})
+	})
+}
+
+func startLoad(callers, ms int, newClient func() *caller.Client) *load {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &load{cancel: cancel}
 	for range callers {
-		client := caller.New(caller.Config{Address: "balancer.invalid", Block: 1, HTTP: c.balanced(false)})
+		client := newClient()
 		l.wg.Go(func() {
 			for ctx.Err() == nil {
 				l.one(client, ms)
