--- a/agent/agent.go
+++ b/agent/agent.go
@@ -283,7 +283,7 @@
 			a.run(v)
 		case slot.Halt:
 			a.halt(v.Key)
-		case slot.Tell:
+		case slot.Offer:
 			if s := a.links[v.Entry]; s != nil {
 				a.sendLoad(a.cfg.Clock.Now(), message.TypeOffer, 0, v.Entry, s)
 			}
--- a/entry/agent.go
+++ b/entry/agent.go
@@ -25,9 +25,9 @@
 	told int
 	// incarnation is the one of this entry that was told last.
 	incarnation lavendercourse.Incarnation
-	// heard is the time of the last stamp, and nudged that of the last request for one.
-	heard  clock.Millis
-	nudged clock.Millis
+	// heard is the time of the last stamp, and beatRequested that of the last request for one.
+	heard         clock.Millis
+	beatRequested clock.Millis
 	// ejected tells whether the worker was ejected when its health was last logged.
 	ejected bool
 }
@@ -55,16 +55,16 @@
 	return 0, false
 }
 
-// nudge asks the agents that have sent no stamp lately for one, so that they can get the tasks that wait.
-func (c *core) nudge(now clock.Millis) {
+// requestBeats asks the agents that have sent no stamp lately for one, so that they can get the tasks that wait.
+func (c *core) requestBeats(now clock.Millis) {
 	for _, a := range c.agents {
-		if a.link == nil || now-a.heard < stampSpacing || now-a.nudged < nudgePeriod {
+		if a.link == nil || now-a.heard < stampSpacing || now-a.beatRequested < beatRequestPeriod {
 			continue
 		}
 		if _, ok := a.newest(now, c.confirmed); ok {
 			continue
 		}
-		a.nudged = now
+		a.beatRequested = now
 		c.renew(a, 0, true)
 	}
 }
@@ -92,8 +92,8 @@
 }
 
 // renew answers the heartbeat with the given number, or asks for one.
-func (c *core) renew(a *agentLink, number uint64, nudge bool) {
-	r := message.Renew{Version: c.gate, Backlog: c.tasks.Waiting(), Home: a.home, Now: nudge}
+func (c *core) renew(a *agentLink, number uint64, now bool) {
+	r := message.Renew{Version: c.gate, Backlog: c.tasks.Waiting(), Home: a.home, Now: now}
 	if inc := c.jobs.Incarnation(); a.incarnation != inc {
 		a.incarnation = inc
 		r.Incarnation = string(inc)
--- a/entry/core.go
+++ b/entry/core.go
@@ -40,8 +40,8 @@
 	probeAge     = 50 * clock.Millis(1)
 	// maxSkipped bounds the jobs that are passed over because no worker with room fits them.
 	maxSkipped = 16
-	// nudgePeriod is the least time in ms between two requests for a heartbeat.
-	nudgePeriod = 500 * clock.Millis(1)
+	// beatRequestPeriod is the least time in ms between two requests for a heartbeat.
+	beatRequestPeriod = 500 * clock.Millis(1)
 )
 
 // core is the state of an entry. All of it is guarded by mu.
@@ -79,13 +79,13 @@
 	listed     int
 	leaseStart clock.Millis
 	confirmed  clock.Millis
-	// turned is the time at which an agent last refused a start.
-	turned clock.Millis
-	gate   uint64
+	// lastRefusal is the time at which an agent last refused a start.
+	lastRefusal clock.Millis
+	gate        uint64
 	// swept is the time of the last sweep.
 	swept clock.Millis
-	// behind wakes the follower when an agent knows a newer configuration.
-	behind   chan struct{}
+	// outdated wakes the follower when an agent knows a newer configuration.
+	outdated chan struct{}
 	held     bool
 	parked   bool
 	stopping bool
@@ -118,7 +118,7 @@
 		spans:    map[lavendercourse.JobID]trace.Span{},
 		declared: map[lavendercourse.Incarnation]clock.Millis{},
 		drained:  map[string]bool{},
-		behind:   make(chan struct{}, 1),
+		outdated: make(chan struct{}, 1),
 		parked:   true, announce: true, confirmed: -1,
 	}
 	m.Collect(c.collect)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -39,7 +39,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-		case <-f.behind:
+		case <-f.outdated:
 		}
 	}
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -73,7 +73,7 @@
 	}
 }
 
-func (s *measures) landed(status message.Status) {
+func (s *measures) taskEnded(status message.Status) {
 	if c := s.ended[status]; c != nil {
 		c.Inc()
 	}
--- a/entry/pump.go
+++ b/entry/pump.go
@@ -31,7 +31,7 @@
 	c.pumpQueue(now, c.calls, true)
 	c.pumpQueue(now, c.tasks, false)
 	if c.calls.Waiting()+c.tasks.Waiting() > 0 {
-		c.nudge(now)
+		c.requestBeats(now)
 	}
 }
 
@@ -102,7 +102,7 @@
 			return choice, ok
 		}
 		a := c.agents[choice.Agent]
-		a.nudged = now
+		a.beatRequested = now
 		c.renew(a, 0, true)
 		c.fleet.Pause(now, choice.Agent)
 	}
@@ -112,7 +112,7 @@
 // is sent elsewhere. After one refusal the next attempt waits, since the other agents are probably full too and each
 // refusal costs two messages.
 func (c *core) waits(now clock.Millis, choice placement.Choice, attempt uint32) bool {
-	return !choice.Free || attempt > 1 || now-c.turned < refusalMemory
+	return !choice.Free || attempt > 1 || now-c.lastRefusal < refusalMemory
 }
 
 // done handles the end of a start.
@@ -126,7 +126,7 @@
 	if d.Version > c.gate {
 		c.fleet.Need(agent, d.Version)
 		select {
-		case c.behind <- struct{}{}:
+		case c.outdated <- struct{}{}:
 		default:
 		}
 	}
@@ -141,21 +141,21 @@
 	if d.Status == message.StatusDone {
 		c.runs.Observe(f.kind, d.Run)
 	}
-	c.landed(now, at, f, d)
+	c.ended(now, at, f, d)
 	c.settle()
 	c.pump(now)
 	return nil
 }
 
-// landed applies the end of a start to its job.
-func (c *core) landed(now clock.Millis, at placement.Attempt, f flight, d message.Done) {
+// ended applies the end of a start to its job.
+func (c *core) ended(now clock.Millis, at placement.Attempt, f flight, d message.Done) {
 	endTask(f.span, d)
-	c.measures.landed(d.Status)
+	c.measures.taskEnded(d.Status)
 	q := c.queueOf(f.call)
 	if d.Status == message.StatusRefused && c.jobs.Returned(at.Key, f.agent, at.Attempt) {
 		q.Returned(f.item)
 		c.fleet.Pause(now, f.agent)
-		c.turned = now
+		c.lastRefusal = now
 		return
 	}
 	q.Freed(f.team)
@@ -179,7 +179,7 @@
 			continue
 		}
 		delete(c.flights, at)
-		c.landed(now, at, f, message.Done{Status: message.StatusUnknown, Error: "agent " + agent + " is gone"})
+		c.ended(now, at, f, message.Done{Status: message.StatusUnknown, Error: "agent " + agent + " is gone"})
 	}
 	c.settle()
 }
--- a/slot/action.go
+++ b/slot/action.go
@@ -5,7 +5,7 @@
 	"github.com/lavendercourse/lavendercourse/message"
 )
 
-// Action is something that the table asks the agent to do: Run, Halt, Reply or Tell.
+// Action is something that the table asks the agent to do: Run, Halt, Reply or Offer.
 type Action interface {
 	isAction()
 }
@@ -30,12 +30,12 @@
 	Done  message.Done
 }
 
-// Tell asks to send the load to an entry, which has tasks waiting and may not know of a free slot.
-type Tell struct {
+// Offer asks to send the load to an entry, which has tasks waiting and may not know of a free slot.
+type Offer struct {
 	Entry string
 }
 
 func (Run) isAction()   {}
 func (Halt) isAction()  {}
 func (Reply) isAction() {}
-func (Tell) isAction()  {}
+func (Offer) isAction() {}
--- a/slot/table_test.go
+++ b/slot/table_test.go
@@ -253,8 +253,8 @@
 	offers := func(task uint32) int {
 		n := 0
 		for _, a := range x.Ended(base+1, key(task), message.StatusDone, nil, "") {
-			if tell, ok := a.(Tell); ok {
-				assert.Equal(t, tell.Entry, "waiting")
+			if o, ok := a.(Offer); ok {
+				assert.Equal(t, o.Entry, "waiting")
 				n++
 			}
 		}
--- a/slot/window.go
+++ b/slot/window.go
@@ -20,7 +20,7 @@
 		return nil
 	}
 	t.entries[chosen].told = true
-	return []Action{Tell{Entry: chosen}}
+	return []Action{Offer{Entry: chosen}}
 }
 
 // wants tells whether an entry has tasks waiting and may have one more here.
@@ -57,14 +57,14 @@
 // share returns the even part of the slots for an entry, among itself and the others that have tasks waiting. It is 1 if
 // no other has, since then the entry gets what is left anyway.
 func (t *Table) share(entry string) int {
-	hungry := 1
+	competing := 1
 	for name, u := range t.entries {
 		if name != entry && u.backlog > 0 {
-			hungry++
+			competing++
 		}
 	}
-	if hungry == 1 {
+	if competing == 1 {
 		return 1
 	}
-	return max(t.cfg.Slots/hungry, 1)
+	return max(t.cfg.Slots/competing, 1)
 }
