Keep a job's largest needs and read the quorum's bounds from it

Found in the read-through, behaviour unchanged: every placement looked through all tasks of its job for the largest declared needs, 1,100 times 1,100 for the largest job; the job now keeps them. Each pump made a map that is needed only for jobs that are passed over. The entry worked out the defaults of the lease and the freshness a second time, and had a second name for the largest payload. The effect on the slope of task starts was not measured.

--- a/entry/core.go
+++ b/entry/core.go
@@ -129,23 +129,9 @@
 	return c
 }
 
-func (c *core) quorumLease() clock.Millis {
-	if c.cfg.Quorum.Lease > 0 {
-		return c.cfg.Quorum.Lease
-	}
-	return member.DefaultLease
-}
-
-func (c *core) freshFor() clock.Millis {
-	if c.cfg.Quorum.Fresh > 0 {
-		return c.cfg.Quorum.Fresh
-	}
-	return member.DefaultFresh
-}
-
 // mayAnswer tells whether the entry holds its quorum lease.
 func (c *core) mayAnswer(now clock.Millis) bool {
-	return c.held && now-c.leaseStart <= c.quorumLease()
+	return c.held && now-c.leaseStart <= c.quorum.Lease()
 }
 
 // listedSelf tells whether this entry is on the list that it knows. Before that, a majority of the list need not include
@@ -163,7 +149,7 @@
 		c.endIncarnation(now)
 	}
 	c.held = c.listedSelf() && c.quorum.Held(now, c.names)
-	parked := !c.listedSelf() || !c.state.Based() || !c.quorum.Settled() || now-c.confirmed > c.freshFor()
+	parked := !c.listedSelf() || !c.state.Based() || !c.quorum.Settled() || now-c.confirmed > c.quorum.FreshFor()
 	if parked != c.parked {
 		c.parked = parked
 		if parked {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -24,10 +24,6 @@
 	// maxCallRetries bounds how often an idempotent call is sent again.
 	maxCallRetries = 2
 	retryAgain     = clock.Second
-
-	// maxRequest bounds a request in bytes. Requests are forwarded, and payloads sent to agents, in one frame each, which
-	// has other fields too.
-	maxRequest = message.MaxData
 )
 
 var errInvalid = eris.New("invalid request; nothing was run")
@@ -125,8 +121,8 @@
 	if m.GetTeam() == "" || m.GetKind() == "" {
 		return nil, invalid("a call needs a team and a kind")
 	}
-	if n := proto.Size(m); n > maxRequest {
-		return nil, invalid("the call has %d bytes, want at most %d", n, maxRequest)
+	if n := proto.Size(m); n > message.MaxData {
+		return nil, invalid("the call has %d bytes, want at most %d", n, message.MaxData)
 	}
 	d.budget.call()
 	var last *lavendercourse.Verdict
--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -36,7 +36,7 @@
 			c.jobs.Finished(now.Now(), as.Key, "agent", as.Attempt, nil)
 			d := newDispatcher(c, nil)
 			assert.Equal(t, s.verdict(d, ids[0]).GetOutcome(), dispatchv1.Outcome_OUTCOME_COMPLETE)
-			now.Advance(c.quorumLease() + 1)
+			now.Advance(c.quorum.Lease() + 1)
 			assert.Equal(t, s.verdict(d, ids[0]).GetReason(), dispatchv1.Reason_REASON_OWNER)
 		})
 	}
--- a/entry/pump.go
+++ b/entry/pump.go
@@ -25,7 +25,7 @@
 
 // pump starts waiting tasks and calls while there is room for them.
 func (c *core) pump(now clock.Millis) {
-	if c.parked || now-c.confirmed > c.freshFor() || !c.mayAnswer(now) {
+	if c.parked || now-c.confirmed > c.quorum.FreshFor() || !c.mayAnswer(now) {
 		return
 	}
 	c.pumpQueue(now, c.calls, true)
@@ -36,7 +36,7 @@
 }
 
 func (c *core) pumpQueue(now clock.Millis, q *admission.Queue, call bool) {
-	skipped := map[lavendercourse.JobID]bool{}
+	var skipped map[lavendercourse.JobID]bool
 	for q.Waiting() > 0 && len(skipped) < maxSkipped {
 		item := q.Next(now, skipped)
 		if item == nil {
@@ -54,6 +54,9 @@
 			return
 		}
 		// Others with smaller needs may still find room.
+		if skipped == nil {
+			skipped = map[lavendercourse.JobID]bool{}
+		}
 		skipped[item.ID()] = true
 	}
 }
@@ -186,11 +189,7 @@
 
 // wantOf returns the largest declared needs among the tasks of a job.
 func wantOf(j *job.Job) placement.Want {
-	w := placement.Want{Call: j.Spec().Call}
-	for _, t := range j.Spec().Tasks {
-		w.Memory, w.Cores = max(w.Memory, t.Memory), max(w.Cores, t.Cores)
-	}
-	return w
+	return placement.Want{Call: j.Spec().Call, Memory: j.Memory(), Cores: j.Cores()}
 }
 
 func wantOfTask(t job.Task) placement.Want {
--- a/entry/translate.go
+++ b/entry/translate.go
@@ -81,8 +81,8 @@
 	if n := len(m.GetTasks()); n < 1 || n > lavendercourse.MaxTasks {
 		return invalid("the job has %d tasks, want 1 to %d", n, lavendercourse.MaxTasks)
 	}
-	if n := proto.Size(m); n > maxRequest {
-		return invalid("the job has %d bytes, want at most %d", n, maxRequest)
+	if n := proto.Size(m); n > message.MaxData {
+		return invalid("the job has %d bytes, want at most %d", n, message.MaxData)
 	}
 	for i, t := range m.GetTasks() {
 		if t.GetKind() == "" {
--- a/job/job.go
+++ b/job/job.go
@@ -58,6 +58,9 @@
 	verdict  lavendercourse.Verdict
 	arrived  clock.Millis
 	finished clock.Millis
+	// memory and cores are the largest declared needs of a task.
+	memory int
+	cores  int
 }
 
 func newJob(now clock.Millis, id lavendercourse.JobID, spec Spec) *Job {
@@ -67,6 +70,9 @@
 		// The last element is taken first.
 		j.waiting[i] = uint32(len(spec.Tasks) - 1 - i)
 	}
+	for _, t := range spec.Tasks {
+		j.memory, j.cores = max(j.memory, t.Memory), max(j.cores, t.Cores)
+	}
 	return j
 }
 
@@ -76,6 +82,12 @@
 // Spec returns the body of the submission.
 func (j *Job) Spec() Spec { return j.spec }
 
+// Memory returns the largest declared memory of a task in MB.
+func (j *Job) Memory() int { return j.memory }
+
+// Cores returns the largest declared number of processor cores of a task.
+func (j *Job) Cores() int { return j.cores }
+
 // Arrived returns the time of the first submission.
 func (j *Job) Arrived() clock.Millis { return j.arrived }
 
--- a/member/quorum.go
+++ b/member/quorum.go
@@ -110,6 +110,12 @@
 	return !q.ended(now) && now-max(q.best, q.LeaseStart(now, list)) <= q.cfg.Lease
 }
 
+// Lease returns the time in ms for which acknowledged pulses allow the entry to answer.
+func (q *Quorum) Lease() clock.Millis { return q.cfg.Lease }
+
+// FreshFor returns the time in ms for which a confirmation of the configuration holds.
+func (q *Quorum) FreshFor() clock.Millis { return q.cfg.Fresh }
+
 // Start returns the start of the lease as last worked out by Lapsed.
 func (q *Quorum) Start() clock.Millis { return q.best }
 
