--- a/command/entry.go
+++ b/command/entry.go
@@ -8,8 +8,8 @@
 
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/entry"
+	"github.com/lavendercourse/lavendercourse/logservice"
 	"github.com/lavendercourse/lavendercourse/placement"
-	"github.com/lavendercourse/lavendercourse/platform"
 	"github.com/lavendercourse/lavendercourse/settings"
 	"github.com/lavendercourse/lavendercourse/telemetry"
 )
@@ -58,7 +58,7 @@
 	return entry.New(entry.Config{
 		Name: s.Entry.Name, Region: s.Place.Region, Domain: s.Place.Domain,
 		Callers: callers, Links: links, Advertise: advertise, Seeds: s.Entry.Seeds,
-		Log:       platform.New(platform.Config{Address: s.Platform.Address, Timeout: s.Platform.Timeout}),
+		Log:       logservice.New(logservice.Config{Address: s.Platform.Address, Timeout: s.Platform.Timeout}),
 		Retention: s.Platform.Retention, Policy: policy, Jobs: s.Limits.Jobs, Queue: s.Limits.Queue, Quorum: s.Member,
 		Clock: clock.NewSystem(), Logger: logger, Tracer: tracer,
 	})
--- a/demo/system.go
+++ b/demo/system.go
@@ -14,8 +14,8 @@
 	"github.com/lavendercourse/lavendercourse/agent"
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/entry"
+	"github.com/lavendercourse/lavendercourse/logservice"
 	"github.com/lavendercourse/lavendercourse/placement"
-	logclient "github.com/lavendercourse/lavendercourse/platform"
 	"github.com/lavendercourse/lavendercourse/slot"
 	"github.com/lavendercourse/lavendercourse/standin/platform"
 	"github.com/lavendercourse/lavendercourse/standin/worker"
@@ -127,7 +127,7 @@
 	e, err := entry.New(entry.Config{
 		Name: fmt.Sprintf("e%d", i+1), Region: d.region, Domain: d.name,
 		Callers: callers, Links: links, Advertise: links.Addr().String(), Seeds: s.links,
-		Log:    logclient.New(logclient.Config{Address: log}),
+		Log:    logservice.New(logservice.Config{Address: log}),
 		Policy: policy, Clock: clock.NewSystem(), Logger: s.logger, Seed: uint64(i + 1),
 	})
 	if err != nil {
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -11,7 +11,7 @@
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/config"
 	"github.com/lavendercourse/lavendercourse/event"
-	"github.com/lavendercourse/lavendercourse/platform"
+	"github.com/lavendercourse/lavendercourse/logservice"
 	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
 )
 
@@ -167,7 +167,7 @@
 		if err == nil {
 			return nil
 		}
-		lost = lost || !eris.Is(err, platform.ErrRejected)
+		lost = lost || !eris.Is(err, logservice.ErrRejected)
 		if !lost {
 			return err
 		}
--- a/platform/client.go
+++ b/logservice/client.go
@@ -1,5 +1,5 @@
-// Package platform is the client of the platform's log service.
-package platform
+// Package logservice is the client of the platform's log service.
+package logservice
 
 import (
 	"context"
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,9 +7,9 @@
 	"github.com/lavendercourse/lavendercourse/admission"
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/job"
+	"github.com/lavendercourse/lavendercourse/logservice"
 	"github.com/lavendercourse/lavendercourse/member"
 	"github.com/lavendercourse/lavendercourse/placement"
-	"github.com/lavendercourse/lavendercourse/platform"
 	"github.com/lavendercourse/lavendercourse/slot"
 	"github.com/lavendercourse/lavendercourse/telemetry"
 )
@@ -91,7 +91,7 @@
 	return Settings{
 		Entry:    Entry{Callers: "127.0.0.1:7100", Links: "127.0.0.1:7101", Policy: placement.PolicyNames[0]},
 		Agent:    Agent{Worker: "127.0.0.1:7200"},
-		Platform: Platform{Address: "127.0.0.1:7000", Timeout: platform.DefaultTimeout, Retention: 60 * clock.Minute},
+		Platform: Platform{Address: "127.0.0.1:7000", Timeout: logservice.DefaultTimeout, Retention: 60 * clock.Minute},
 		Limits: Limits{
 			Queue: admission.Config{Queue: admission.DefaultQueue, Age: admission.DefaultAge},
 			Jobs: job.Config{
--- a/standin/bench/system.go
+++ b/standin/bench/system.go
@@ -19,8 +19,8 @@
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/entry"
 	"github.com/lavendercourse/lavendercourse/link"
+	"github.com/lavendercourse/lavendercourse/logservice"
 	"github.com/lavendercourse/lavendercourse/placement"
-	"github.com/lavendercourse/lavendercourse/platform"
 	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
 	"github.com/lavendercourse/lavendercourse/schema/dispatch/v1/dispatchv1connect"
 	"github.com/lavendercourse/lavendercourse/slot"
@@ -118,7 +118,7 @@
 		Name: fmt.Sprintf("entry-%d", i), Region: s.net.regions[d], Domain: s.net.domains[d],
 		Callers: listener{Listener: front, delay: s.callers}, Links: listener{Listener: back, delay: s.links},
 		Advertise: back.Addr().String(), Seeds: append([]string(nil), s.seeds...),
-		Log:    platform.New(platform.Config{Address: log, Transport: &http.Transport{DialContext: s.links.dial}}),
+		Log:    logservice.New(logservice.Config{Address: log, Transport: &http.Transport{DialContext: s.links.dial}}),
 		Policy: policy, Clock: clock.NewSystem(), Logger: zerolog.Nop(), Counters: s.counters,
 		Dialer: link.NewDialer(s.links.dial), Seed: s.cfg.Seed + uint64(i),
 	})
--- a/standin/peers/slope_test.go
+++ b/standin/peers/slope_test.go
@@ -23,8 +23,8 @@
 	"github.com/lavendercourse/lavendercourse/caller"
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/link"
+	"github.com/lavendercourse/lavendercourse/logservice"
 	"github.com/lavendercourse/lavendercourse/message"
-	"github.com/lavendercourse/lavendercourse/platform"
 	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
 	"github.com/lavendercourse/lavendercourse/schema/dispatch/v1/dispatchv1connect"
 	"github.com/lavendercourse/lavendercourse/standin/peers"
@@ -117,7 +117,7 @@
 	logAddress, callers, links := freeAddress(t), freeAddress(t), freeAddress(t)
 	start(t, filepath.Join(bin, "standin"), "platform", "--listen", logAddress)
 	pid := start(t, filepath.Join(bin, "lavendercourse"), "entry", "--settings", settingsFile(t, dir, logAddress, callers, links))
-	log := platform.New(platform.Config{Address: logAddress})
+	log := logservice.New(logservice.Config{Address: logAddress})
 	counters := link.NewCounters()
 	dial(t, links)
 	agents, err := peers.NewAgents(peers.AgentsConfig{Count: sc.agents, Entry: links, Domains: 12, Hold: max(sc.hold, 1), Counters: counters})
--- a/telemetry/harness_test.go
+++ b/telemetry/harness_test.go
@@ -23,8 +23,8 @@
 	"github.com/lavendercourse/lavendercourse/caller"
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/entry"
+	"github.com/lavendercourse/lavendercourse/logservice"
 	"github.com/lavendercourse/lavendercourse/placement"
-	"github.com/lavendercourse/lavendercourse/platform"
 	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
 	"github.com/lavendercourse/lavendercourse/schema/dispatch/v1/dispatchv1connect"
 	"github.com/lavendercourse/lavendercourse/slot"
@@ -62,7 +62,7 @@
 		callers, l := s.listen("127.0.0.1:0"), s.listen("127.0.0.1:0")
 		e, err := entry.New(entry.Config{
 			Name: name, Domain: "sapporo", Callers: callers, Links: l, Advertise: l.Addr().String(), Seeds: s.links,
-			Log: platform.New(platform.Config{Address: log}), Policy: policy, Clock: clock.NewSystem(),
+			Log: logservice.New(logservice.Config{Address: log}), Policy: policy, Clock: clock.NewSystem(),
 			Logger: zerolog.New(s.lines), Tracer: s.tracer(name),
 		})
 		assert.NilError(t, err)
