--- /dev/null
+++ b/command/gateway.go
@@ -0,0 +1,62 @@
+package command
+
+import (
+	"net"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/gateway"
+	"github.com/lavendercourse/lavendercourse/platform"
+	"github.com/lavendercourse/lavendercourse/queue"
+	"github.com/lavendercourse/lavendercourse/settings"
+)
+
+func newGateway(c *common) *cobra.Command {
+	return &cobra.Command{
+		Use:   "gateway",
+		Short: "Run a gateway: the entry on the users' platform",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return c.daemon(cmd.Context(), settings.RoleGateway, func(s settings.Settings, logger zerolog.Logger) (stopper, error) {
+				return startGateway(s, logger)
+			})
+		},
+	}
+}
+
+func startGateway(s settings.Settings, logger zerolog.Logger) (*gateway.Gateway, error) {
+	listeners, err := listen(s.Gateway.Callers, s.Gateway.Ready, s.Gateway.Links, s.Gateway.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	return gateway.New(gateway.Config{
+		Name: s.Gateway.Name, Domain: s.Place.Domain, Callers: listeners[0], Ready: listeners[1], Links: listeners[2],
+		Metrics: listeners[3], Advertise: s.Gateway.Links, Seeds: s.Gateway.Seeds,
+		Store:   platform.NewStore(platform.StoreConfig{Address: s.Store.Address, Timeout: s.Store.Timeout}),
+		Control: platform.ControlStream, Entries: platform.EntryStream, Decode: platform.DecodeControl, Serve: platform.NewJobs,
+		Queue: queue.Config{MaxJobs: s.Gateway.Jobs}, Clock: clock.NewBoot(), Logger: logger, Budget: s.Log.Budget,
+	})
+}
+
+// listen opens the given addresses. An empty one has no listener.
+func listen(addresses ...string) ([]net.Listener, error) {
+	listeners := make([]net.Listener, len(addresses))
+	for i, address := range addresses {
+		if address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range listeners[:i] {
+				if open != nil {
+					_ = open.Close()
+				}
+			}
+			return nil, err
+		}
+		listeners[i] = l
+	}
+	return listeners, nil
+}
--- a/command/root.go
+++ b/command/root.go
@@ -95,7 +95,7 @@
 			newDrain(c), newRestore(c), newDomains(c)),
 		newWorkers(c),
 		newGroup("settings", "Work with settings files", newCheck(c)),
-		newVersion(c), newEntry(c), newAgent(c),
+		newVersion(c), newEntry(c), newAgent(c), newGateway(c), newRunner(c),
 	)
 	return root
 }
@@ -126,6 +126,11 @@
 
 // load reads the settings of a daemon and returns them with its logger.
 func (c *common) load(role settings.Role) (settings.Settings, zerolog.Logger, error) {
+	return c.loadFor(role, c.errOut)
+}
+
+// loadFor reads the settings of a daemon and returns them with a logger that writes to out.
+func (c *common) loadFor(role settings.Role, out io.Writer) (settings.Settings, zerolog.Logger, error) {
 	s, err := settings.Load(c.file, role)
 	if err != nil {
 		return s, zerolog.Nop(), failure(ExitSettings, "%s did not start:\n%s", role, problemsOf(err))
@@ -134,7 +139,7 @@
 	if err != nil {
 		return s, zerolog.Nop(), failure(ExitSettings, "%s did not start: %v", role, err)
 	}
-	return s, zerolog.New(c.errOut).Level(level).With().Timestamp().Logger(), nil
+	return s, zerolog.New(out).Level(level).With().Timestamp().Logger(), nil
 }
 
 // tracer returns the tracer of a daemon, which is nil if traces are off.
--- /dev/null
+++ b/command/runner.go
@@ -0,0 +1,38 @@
+package command
+
+import (
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/platform"
+	"github.com/lavendercourse/lavendercourse/runner"
+	"github.com/lavendercourse/lavendercourse/settings"
+)
+
+func newRunner(c *common) *cobra.Command {
+	return &cobra.Command{
+		Use:   "runner",
+		Short: "Run a runner: the agent beside a worker of the users' platform",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return c.daemon(cmd.Context(), settings.RoleRunner, func(s settings.Settings, logger zerolog.Logger) (stopper, error) {
+				return startRunner(s, logger)
+			})
+		},
+	}
+}
+
+func startRunner(s settings.Settings, logger zerolog.Logger) (*runner.Runner, error) {
+	listeners, err := listen(s.Runner.Reports, s.Runner.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	return runner.New(runner.Config{
+		Name: s.Runner.Name, Domain: s.Place.Domain, Seeds: s.Runner.Seeds,
+		Worker:  platform.NewWorker(platform.WorkerConfig{Address: s.Runner.Worker, Timeout: s.Runner.Timeout}),
+		Reports: listeners[0], Register: platform.RegisterReports, Metrics: listeners[1],
+		Store:   platform.NewStore(platform.StoreConfig{Address: s.Store.Address, Timeout: s.Store.Timeout}),
+		Entries: platform.EntryStream, Clock: clock.NewBoot(), Logger: logger, Budget: s.Log.Budget,
+	})
+}
--- a/event/event.go
+++ b/event/event.go
@@ -42,6 +42,8 @@
 	Stopped  = define(102, zerolog.InfoLevel, "process stopped")
 	Restart  = define(103, zerolog.ErrorLevel, "part of the process failed and was restarted")
 	CutOff   = define(104, zerolog.WarnLevel, "process stopped while work was running")
+	LeftOut  = define(105, zerolog.WarnLevel, "log lines were left out")
+	Reloaded = define(106, zerolog.InfoLevel, "settings were read again")
 )
 
 // Events of links between processes.
@@ -90,3 +92,34 @@
 	WorkerDown   = define(420, zerolog.ErrorLevel, "backend server does not answer")
 	WorkerUp     = define(421, zerolog.InfoLevel, "backend server answers")
 )
+
+// Events of a gateway.
+var (
+	JobTaken       = define(500, zerolog.InfoLevel, "job was taken")
+	JobNotTaken    = define(501, zerolog.InfoLevel, "job was refused at once; nothing of it ran")
+	RunsOrdered    = define(502, zerolog.InfoLevel, "runs were ordered from a runner")
+	RunNotDone     = define(503, zerolog.InfoLevel, "run did not end well")
+	RunsRecalled   = define(504, zerolog.InfoLevel, "runs were recalled from a runner")
+	JobAnswered    = define(505, zerolog.InfoLevel, "job was answered")
+	RunnerEnrolled = define(510, zerolog.InfoLevel, "runner is linked and its worker is known")
+	RunnerLost     = define(511, zerolog.WarnLevel, "link to a runner ended")
+	RunnerSilent   = define(512, zerolog.WarnLevel, "runner was silent until its runs had ended; they are ordered elsewhere")
+	RunnerFailing  = define(513, zerolog.WarnLevel, "most runs of a runner fail; it gets single runs")
+	RunnerHealthy  = define(514, zerolog.InfoLevel, "runs of a runner end well again")
+	QueuesChanged  = define(520, zerolog.InfoLevel, "queues changed")
+	ReadyChanged   = define(521, zerolog.InfoLevel, "readiness changed")
+)
+
+// Events of a runner.
+var (
+	WorkerEnrolled = define(600, zerolog.InfoLevel, "worker reported")
+	WorkerDraining = define(601, zerolog.InfoLevel, "worker is draining; it gets no new runs")
+	WorkerLeft     = define(602, zerolog.InfoLevel, "worker said that it ends")
+	TokenTaken     = define(603, zerolog.InfoLevel, "fencing token was taken")
+	WorkerSilent   = define(604, zerolog.WarnLevel, "worker does not answer")
+	WorkerHeard    = define(605, zerolog.InfoLevel, "worker answers")
+	RunStarted     = define(610, zerolog.InfoLevel, "run was sent to the worker")
+	RunNotStarted  = define(611, zerolog.InfoLevel, "run was not started")
+	RunStopped     = define(612, zerolog.InfoLevel, "run is being stopped")
+	RunEnded       = define(613, zerolog.InfoLevel, "run ended")
+)
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/event"
+	"github.com/lavendercourse/lavendercourse/link"
+	"github.com/lavendercourse/lavendercourse/queue"
+	"github.com/lavendercourse/lavendercourse/roster"
+	"github.com/lavendercourse/lavendercourse/route"
+	"github.com/lavendercourse/lavendercourse/telemetry"
+)
+
+// Gateway is one running gateway.
+type Gateway struct {
+	cfg      Config
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     chan struct{}
+	log      *event.Log
+	dialer   *link.Dialer
+	measures *measures
+	callers  *http.Server
+
+	mu      sync.Mutex
+	table   *queue.Table
+	routes  *route.Table
+	roster  *roster.Roster
+	runners map[string]*runnerLink
+	peers   map[string]*peerLink
+	answers map[*queue.Job]*answer
+	// ahead is when a peer first told of records that are not known here, and who did.
+	ahead     clock.Millis
+	aheadPeer string
+	stopping  bool
+	// closing is set when callers have to open new connections.
+	closing bool
+	ready   bool
+	failing map[string]bool
+}
+
+// answer is what the callers of a job wait for.
+type answer struct {
+	done  chan struct{}
+	value lavendercourse.JobAnswer
+}
+
+// New starts a gateway. It runs until Stop or Kill is called.
+func New(cfg Config) (*Gateway, error) {
+	if cfg.Name == "" || cfg.Callers == nil || cfg.Ready == nil || cfg.Links == nil || cfg.Store == nil || cfg.Clock == nil ||
+		cfg.Decode == nil || cfg.Serve == nil {
+		return nil, eris.Wrap(ErrStart, "name, listeners, store, clock, decoder and handler are needed")
+	}
+	if cfg.Counters == nil {
+		cfg.Counters = link.NewCounters()
+	}
+	cfg.Queue.Domain = cfg.Domain
+	ctx, cancel := context.WithCancel(context.Background())
+	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
+	g := &Gateway{
+		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}),
+		log:      event.NewLog(event.LogConfig{Logger: cfg.Logger, Clock: cfg.Clock, Budget: cfg.Budget}),
+		dialer:   link.NewDialer(dialer.DialContext),
+		measures: newMeasures(telemetry.NewMetrics(cfg.Counters)),
+		table:    queue.New(cfg.Queue), routes: route.New(cfg.Decode),
+		roster:  roster.New(roster.Config{Name: cfg.Name, Address: cfg.Advertise, Seeds: cfg.Seeds}),
+		runners: map[string]*runnerLink{}, peers: map[string]*peerLink{}, answers: map[*queue.Job]*answer{},
+		failing: map[string]bool{},
+	}
+	g.measures.metrics.Collect(g.collect)
+	s := suture.New(cfg.Name, suture.Spec{EventHook: func(ev suture.Event) {
+		event.Restart.On(cfg.Logger).Str("cause", ev.String()).Send()
+	}})
+	g.callers = g.server(g.turnAway(cfg.Serve(desk{g})))
+	s.Add(service{name: "callers", run: serving(g.callers, cfg.Callers)})
+	s.Add(service{name: "ready", run: serving(g.server(g.readiness()), cfg.Ready)})
+	s.Add(service{name: "links", run: serving(g.server(g.links()), cfg.Links)})
+	if cfg.Metrics != nil {
+		s.Add(service{name: "metrics", run: serving(g.server(g.metrics()), cfg.Metrics)})
+	}
+	s.Add(service{name: "follow", run: g.follow})
+	s.Add(service{name: "announce", run: g.announce})
+	s.Add(service{name: "tick", run: every(tickPeriod, g.tick)})
+	s.Add(service{name: "dial", run: every(dialPeriod, g.dial)})
+	s.Add(service{name: "digest", run: every(digestPeriod, g.digest)})
+	ended := s.ServeBackground(ctx)
+	go func() {
+		<-ended
+		close(g.done)
+	}()
+	event.Started.On(cfg.Logger).Str("gateway", cfg.Name).Stringer("callers", cfg.Callers.Addr()).Stringer("links", cfg.Links.Addr()).Send()
+	return g, nil
+}
+
+// Stop turns callers away, waits for the jobs that were taken and ends the gateway. It gives up the jobs that are left
+// when the platform is about to kill the process, or when ctx ends.
+func (g *Gateway) Stop(ctx context.Context) error {
+	event.Stopping.On(g.cfg.Logger).Send()
+	began := g.cfg.Clock.Now()
+	g.mu.Lock()
+	g.stopping, g.closing = true, true
+	g.setReady()
+	g.mu.Unlock()
+	g.sleep(ctx, turnAway)
+	g.mu.Lock()
+	g.table.Stop()
+	g.mu.Unlock()
+	for g.busy() > 0 && ctx.Err() == nil && g.cfg.Clock.Now()-began < stopLimit {
+		g.sleep(ctx, tickPeriod)
+	}
+	var err error
+	if n := g.busy(); n > 0 {
+		event.CutOff.On(g.cfg.Logger).Int("jobs", n).Send()
+		err = eris.New("jobs had not ended")
+	}
+	g.mu.Lock()
+	g.perform(g.table.Interrupt(g.cfg.Clock.Now()))
+	g.mu.Unlock()
+	stop, cancel := context.WithTimeout(context.Background(), answerTime.Duration())
+	defer cancel()
+	// Connections that are still busy are cut off by Kill.
+	_ = g.callers.Shutdown(stop)
+	g.Kill()
+	event.Stopped.On(g.cfg.Logger).Send()
+	return err
+}
+
+// Kill ends the gateway at once.
+func (g *Gateway) Kill() {
+	g.cancel()
+	g.mu.Lock()
+	links := make([]*link.Link, 0, len(g.runners)+len(g.peers))
+	for _, r := range g.runners {
+		links = append(links, r.link)
+	}
+	for _, p := range g.peers {
+		links = append(links, p.link)
+	}
+	g.mu.Unlock()
+	for _, l := range links {
+		l.Close()
+	}
+	<-g.done
+}
+
+func (g *Gateway) busy() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Jobs()
+}
+
+func (g *Gateway) sleep(ctx context.Context, span clock.Millis) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span.Duration()):
+	}
+}
+
+// turnAway asks callers to open a new connection while the gateway stops, so that their next request goes elsewhere.
+func (g *Gateway) turnAway(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.mu.Lock()
+		closing := g.closing
+		g.mu.Unlock()
+		if closing {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (g *Gateway) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		g.mu.Lock()
+		ready := g.ready
+		g.mu.Unlock()
+		if !ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (g *Gateway) metrics() http.Handler {
+	r := mux.NewRouter()
+	r.Handle(telemetry.MetricsPath, g.measures.metrics)
+	return r
+}
+
+func (g *Gateway) links() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(link.Path, g.accept)
+	return r
+}
+
+func (g *Gateway) server(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration()}
+}
+
+// tick gives up what has run out of time.
+func (g *Gateway) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.perform(g.table.Tick(g.cfg.Clock.Now()))
+	g.setReady()
+}
+
+// setReady decides whether the balancer may send callers here.
+func (g *Gateway) setReady() {
+	ready := !g.stopping && g.routes.Ready() && g.table.Linked() > 0
+	if ready != g.ready {
+		g.ready = ready
+		g.log.On(event.ReadyChanged).Bool("ready", ready).Int64("version", g.routes.Version()).Int("runners", g.table.Linked()).Send()
+	}
+}
+
+type service struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+// String names the service in events.
+func (s service) String() string { return s.name }
+
+func serving(s *http.Server, l net.Listener) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stop()
+		err := s.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-ctx.Done()
+			return suture.ErrDoNotRestart
+		}
+		return err
+	}
+}
+
+func every(period clock.Millis, do func()) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		t := time.NewTicker(period.Duration())
+		defer t.Stop()
+		for {
+			do()
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-t.C:
+			}
+		}
+	}
+}
--- a/message/frame.go
+++ b/message/frame.go
@@ -46,14 +46,24 @@
 	TypeFetch   Type = 16
 	TypeState   Type = 17
 	TypeOffer   Type = 18
+	TypeEnroll  Type = 19
+	TypeReport  Type = 20
+	TypeOrder   Type = 21
+	TypeRecall  Type = 22
+	TypeEnded   Type = 23
+	TypeKeep    Type = 24
+	TypeDigest  Type = 25
+	TypePull    Type = 26
+	TypeRecords Type = 27
 )
 
 // TypeCount is one more than the highest type number.
-const TypeCount = 19
+const TypeCount = 28
 
 var typeNames = [TypeCount]string{
 	"unknown", "hello", "welcome", "beat", "renew", "start", "done", "stop", "leave", "resume", "pulse", "ack",
-	"forward", "reply", "ask", "heard", "fetch", "state", "offer",
+	"forward", "reply", "ask", "heard", "fetch", "state", "offer", "enroll", "report", "order", "recall", "ended", "keep",
+	"digest", "pull", "records",
 }
 
 // String returns the name of the type, as used in metrics.
--- /dev/null
+++ b/room/config.go
@@ -0,0 +1,92 @@
+// Package room decides what a runner starts on the worker beside it. The worker guards nothing itself, so the table
+// keeps the sum of what runs within the capacity, counts what is being stopped until its end is known, and ends runs
+// whose entry is gone. It is pure: events with a time go in, actions come out.
+package room
+
+import (
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+)
+
+// Defaults of Config. An entry takes a run for ended OwnerLease + WorkerLease and a margin after it last heard of the
+// runner, see queue.Config.
+const (
+	// DefaultWorkerLease is below the second to which the platform shortens leases, and leaves time for three renewals.
+	DefaultWorkerLease = 900 * clock.Millis(1)
+	// DefaultOwnerLease ends the runs of a silent entry before a caller submits its job again, 1.3 s after it lost its
+	// connection.
+	DefaultOwnerLease = 900 * clock.Millis(1)
+	// DefaultValidity is the age above which the stamp of an order is refused.
+	DefaultValidity = 900 * clock.Millis(1)
+)
+
+const (
+	// renewWait is the time for which a renewal waits for an end. Three renewals fit into the lease of the worker.
+	renewWait = 200 * clock.Millis(1)
+	// stopRetry is the time after which a stop without effect is repeated. A worker needs up to 50 ms.
+	stopRetry = 100 * clock.Millis(1)
+	// silentAfter is the time without an answer after which a worker gets no new runs.
+	silentAfter = 500 * clock.Millis(1)
+	// maxStarts is the number of times that a start without an answer is sent.
+	maxStarts = 2
+	// driftPercent is by how much the clock of a worker may be slow.
+	driftPercent = 2
+	// historyLength is the number of ends that the failure rate and the pace are taken from.
+	historyLength = 24
+	// historyAge is the age above which an end tells nothing any more.
+	historyAge = 4 * clock.Second
+)
+
+// Config holds the times of a table, in ms. Zero values select the defaults.
+type Config struct {
+	// WorkerLease is the time for which the worker runs on without a renewal.
+	WorkerLease clock.Millis
+	// OwnerLease is the time for which runs go on without a message of their entry.
+	OwnerLease clock.Millis
+	// Validity is the age above which the stamp of an order is refused.
+	Validity clock.Millis
+}
+
+func (c Config) withDefaults() Config {
+	if c.WorkerLease == 0 {
+		c.WorkerLease = DefaultWorkerLease
+	}
+	if c.OwnerLease == 0 {
+		c.OwnerLease = DefaultOwnerLease
+	}
+	if c.Validity == 0 {
+		c.Validity = DefaultValidity
+	}
+	return c
+}
+
+// Action is what a table asks its runner to do: StartRun, StopRun or TellEnd.
+type Action interface{ action() }
+
+// StartRun asks to start a run on the worker and to pass the answer to Started.
+type StartRun struct {
+	Worker string
+	Order  lavendercourse.Order
+}
+
+// StopRun asks to stop a run on the worker and to pass the answer to Stopped.
+type StopRun struct {
+	Worker string
+	Run    lavendercourse.RunID
+	Token  int64
+}
+
+// TellEnd asks to tell an entry that a run has ended.
+type TellEnd struct {
+	Entry  string
+	Run    lavendercourse.RunID
+	Kind   lavendercourse.EndKind
+	Reason lavendercourse.Reply
+	// Took is the time in ms since the order. Cause says in words why a run was stopped or not started.
+	Took  clock.Millis
+	Cause string
+}
+
+func (StartRun) action() {}
+func (StopRun) action()  {}
+func (TellEnd) action()  {}
--- /dev/null
+++ b/room/room.go
@@ -0,0 +1,497 @@
+package room
+
+import (
+	"sort"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/message"
+)
+
+// Causes of refusals and stops, as they stand in logs.
+const (
+	causeStale    = "order carries an old stamp"
+	causeClosed   = "worker takes no runs"
+	causeRoom     = "worker has no room"
+	causeHeld     = "an earlier run of the task has not ended"
+	causeLimit    = "worker runs as many tasks of the step as allowed"
+	causeWorker   = "worker refused the start"
+	causeUnknown  = "worker did not answer the start"
+	causeRecalled = "entry recalled the run"
+	causeOwner    = "entry did not renew its lease"
+	causeLink     = "link to the entry ended"
+	causeLife     = "worker ended"
+	causeSilent   = "worker did not answer until its lease expired"
+	causeMissing  = "worker does not list the run"
+	causeStalled  = "run made no progress"
+	causeSlow     = "run made too little progress"
+	causeForeign  = "run was not ordered by this runner"
+)
+
+// Room is the table of what runs on one worker.
+type Room struct {
+	cfg      Config
+	worker   lavendercourse.WorkerReport
+	known    bool
+	draining bool
+	leaving  bool
+	// born, token, seen and the clock readings belong to one life of the worker.
+	born  int64
+	token int64
+	seen  int64
+	// workerClock was the worker's clock at the local time workerAt, at the latest.
+	workerClock clock.Millis
+	workerAt    clock.Millis
+	// granted is the highest time of the worker's clock up to which the lease may have been renewed.
+	granted clock.Millis
+	// heard is the time of the last answer of the worker.
+	heard clock.Millis
+	runs  map[taskKey]*run
+	// foreign holds runs that this runner did not order: those of its predecessor. They are stopped, and nothing is
+	// started before they have ended, since their size is not known.
+	foreign map[lavendercourse.RunID]bool
+	used    lavendercourse.Resources
+	// leases holds the newest stamp that each entry has sent back.
+	leases  map[string]clock.Millis
+	history history
+}
+
+// New returns a table without a worker.
+func New(cfg Config) *Room {
+	return &Room{
+		cfg: cfg.withDefaults(), runs: map[taskKey]*run{}, foreign: map[lavendercourse.RunID]bool{},
+		leases: map[string]clock.Millis{},
+	}
+}
+
+// Worker returns what the worker last reported, or false if it has not yet.
+func (r *Room) Worker() (lavendercourse.WorkerReport, bool) { return r.worker, r.known }
+
+// Token returns the fencing token in use, or 0.
+func (r *Room) Token() int64 { return r.token }
+
+// Running returns the number of runs that have not ended.
+func (r *Room) Running() int { return len(r.runs) }
+
+// Owes tells whether runs of the entry have not ended yet.
+func (r *Room) Owes(entry string) bool {
+	for _, run := range r.runs {
+		if run.entry == entry {
+			return true
+		}
+	}
+	return false
+}
+
+// Open tells whether new runs are taken.
+func (r *Room) Open(now clock.Millis) bool {
+	return r.known && !r.draining && !r.leaving && r.token > 0 && len(r.foreign) == 0 && now-r.heard < silentAfter
+}
+
+// Free returns what the worker has left.
+func (r *Room) Free() lavendercourse.Resources { return r.worker.Capacity.Minus(r.used) }
+
+// Report returns the load for entries.
+func (r *Room) Report(now clock.Millis) message.Report {
+	failed, ended := r.history.rates(now)
+	return message.Report{
+		Stamp: now, Free: r.Free(), Running: len(r.runs), Open: r.Open(now), Failed: failed, Ended: ended,
+	}
+}
+
+// Leave refuses new runs from now on.
+func (r *Room) Leave() { r.leaving = true }
+
+// Beat takes a heartbeat of the worker. It returns whether what entries know of the worker has changed.
+func (r *Room) Beat(now clock.Millis, w lavendercourse.WorkerReport) ([]Action, bool) {
+	if r.known && w.ID == r.worker.ID && (w.Born < r.worker.Born || (w.Born == r.worker.Born && w.Sequence <= r.worker.Sequence)) {
+		// A report that was delayed on its way.
+		return nil, false
+	}
+	if r.known && w.ID != r.worker.ID && w.Born < r.worker.Born {
+		return nil, false
+	}
+	var actions []Action
+	changed := !r.known || w.ID != r.worker.ID || w.Born != r.worker.Born || w.Capacity != r.worker.Capacity
+	if r.known && (w.ID != r.worker.ID || w.Born != r.worker.Born) {
+		actions = r.endLife(now)
+	}
+	if r.born != 0 && w.Born != 0 && w.Born > r.born {
+		actions = append(actions, r.endLife(now)...)
+	}
+	r.worker, r.known, r.draining = w, true, w.Draining
+	if w.Born != 0 {
+		r.born = w.Born
+	}
+	return actions, changed
+}
+
+// Deregister takes note that the worker ends now.
+func (r *Room) Deregister(worker string) {
+	if r.known && worker == r.worker.ID {
+		r.draining = true
+	}
+}
+
+// endLife forgets a life of the worker: whatever ran in it has ended.
+func (r *Room) endLife(now clock.Millis) []Action {
+	var actions []Action
+	for _, run := range r.sorted() {
+		actions = r.end(actions, now, run, lavendercourse.EndLost, lavendercourse.ReplyAccepted, causeLife)
+	}
+	r.foreign = map[lavendercourse.RunID]bool{}
+	r.born, r.token, r.seen, r.workerClock, r.workerAt, r.granted, r.heard = 0, 0, 0, 0, 0, 0, 0
+	r.draining = false
+	return actions
+}
+
+// Order takes an order of an entry.
+func (r *Room) Order(now clock.Millis, entry string, o message.Order) []Action {
+	r.renew(entry, o.Stamp)
+	var actions []Action
+	for _, id := range o.Runs {
+		reason, cause := r.refusal(now, o, id)
+		if cause != "" {
+			actions = append(actions, TellEnd{Entry: entry, Run: id, Kind: lavendercourse.EndRefused, Reason: reason, Cause: cause})
+			continue
+		}
+		n := &run{
+			id: id, entry: entry, payload: o.Payload, need: o.Need, estimate: o.Estimate, began: now, moved: now,
+		}
+		r.runs[keyOf(id)] = n
+		r.used = r.used.Plus(n.need)
+		actions = append(actions, r.start(now, n))
+	}
+	return actions
+}
+
+func (r *Room) refusal(now clock.Millis, o message.Order, id lavendercourse.RunID) (lavendercourse.Reply, string) {
+	switch {
+	case now-o.Stamp > r.cfg.Validity:
+		return lavendercourse.ReplyLate, causeStale
+	case !r.Open(now):
+		return lavendercourse.ReplyBusy, causeClosed
+	case r.runs[keyOf(id)] != nil:
+		return lavendercourse.ReplyOther, causeHeld
+	case !o.Need.Fits(r.Free()):
+		return lavendercourse.ReplyRoom, causeRoom
+	case o.PerWorker > 0 && r.ofStep(id) >= o.PerWorker:
+		return lavendercourse.ReplyRoom, causeLimit
+	}
+	return lavendercourse.ReplyAccepted, ""
+}
+
+func (r *Room) ofStep(id lavendercourse.RunID) int {
+	n := 0
+	for key := range r.runs {
+		if key.job == id.Job && key.step == id.Step {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Room) start(now clock.Millis, n *run) Action {
+	n.starts++
+	return StartRun{Worker: r.worker.ID, Order: lavendercourse.Order{
+		Run: n.id, Payload: n.payload, Until: r.grant(now), Token: r.token,
+	}}
+}
+
+// grant returns the time of the worker's clock up to which the lease is renewed now.
+func (r *Room) grant(now clock.Millis) clock.Millis {
+	until := r.workerClock + (now - r.workerAt) + r.cfg.WorkerLease
+	r.granted = max(r.granted, until)
+	return until
+}
+
+// sight takes over the reading of the worker's clock from an answer to a call sent at the given time. It returns
+// false if the answer is from another life of the worker.
+func (r *Room) sight(now clock.Millis, s lavendercourse.Sight) bool {
+	if s.Born != 0 && r.born != 0 && s.Born != r.born {
+		return false
+	}
+	if s.Born != 0 {
+		r.born = s.Born
+	}
+	if s.Clock > 0 && s.Clock >= r.workerClock {
+		r.workerClock, r.workerAt = s.Clock, now
+	}
+	r.heard = now
+	return true
+}
+
+// renew extends the lease of an entry's runs up to the given stamp of this runner's clock.
+func (r *Room) renew(entry string, stamp clock.Millis) { r.leases[entry] = max(r.leases[entry], stamp) }
+
+// Keep takes note that an entry renews the lease of its runs.
+func (r *Room) Keep(entry string, stamp clock.Millis) { r.renew(entry, stamp) }
+
+// Started takes the answer of the worker to a start. An error tells that no answer arrived.
+func (r *Room) Started(now clock.Millis, id lavendercourse.RunID, s lavendercourse.Sight, reply lavendercourse.Reply, err error) []Action {
+	n := r.runs[keyOf(id)]
+	if n == nil || n.id != id {
+		return nil
+	}
+	if err != nil {
+		return r.unanswered(now, n)
+	}
+	if reply == lavendercourse.ReplyLife || !r.sight(now, s) {
+		// The worker that was meant has ended, and with it all its runs.
+		return r.endLife(now)
+	}
+	if reply == lavendercourse.ReplyAccepted {
+		if n.state == stateStarting {
+			n.state, n.started, n.moved = stateRunning, now, now
+		}
+		return nil
+	}
+	if reply == lavendercourse.ReplyToken {
+		r.raise(s)
+	}
+	if n.state == stateStopping || n.starts > 1 {
+		// An earlier start of this run may have been carried out. The lists tell.
+		return r.stop(nil, now, n, lavendercourse.EndStopped, causeUnknown)
+	}
+	return r.end(nil, now, n, lavendercourse.EndRefused, reply, causeWorker)
+}
+
+func (r *Room) unanswered(now clock.Millis, n *run) []Action {
+	switch {
+	case n.state != stateStarting:
+		return nil
+	case n.starts < maxStarts:
+		return []Action{r.start(now, n)}
+	default:
+		return r.stop(nil, now, n, lavendercourse.EndStopped, causeUnknown)
+	}
+}
+
+// raise takes a fencing token above the one that the worker has seen. The worker's clock only rises, so that a
+// successor always finds a higher token.
+func (r *Room) raise(s lavendercourse.Sight) {
+	r.token = max(r.token+1, int64(s.Clock))
+}
+
+// Recall stops runs of an entry. Those that are not known here have ended or never started; they are told as ended.
+func (r *Room) Recall(now clock.Millis, entry string, stamp clock.Millis, ids []lavendercourse.RunID) []Action {
+	r.renew(entry, stamp)
+	var actions []Action
+	for _, id := range ids {
+		n := r.runs[keyOf(id)]
+		if n == nil || n.id != id {
+			actions = append(actions, TellEnd{Entry: entry, Run: id, Kind: lavendercourse.EndStopped, Cause: causeRecalled})
+			continue
+		}
+		actions = r.stop(actions, now, n, lavendercourse.EndStopped, causeRecalled)
+	}
+	return actions
+}
+
+// Gone stops the runs of an entry whose link has ended. The entry is not told of their ends.
+func (r *Room) Gone(now clock.Millis, entry string) []Action {
+	var actions []Action
+	for _, n := range r.sorted() {
+		if n.entry == entry {
+			n.silent = true
+			actions = r.stop(actions, now, n, lavendercourse.EndStopped, causeLink)
+		}
+	}
+	delete(r.leases, entry)
+	return actions
+}
+
+func (r *Room) stop(actions []Action, now clock.Millis, n *run, kind lavendercourse.EndKind, cause string) []Action {
+	if n.state == stateStopping {
+		return actions
+	}
+	n.state, n.kind, n.cause = stateStopping, kind, cause
+	return append(actions, r.sendStop(now, n))
+}
+
+func (r *Room) sendStop(now clock.Millis, n *run) Action {
+	n.stopSent = now
+	return StopRun{Worker: r.worker.ID, Run: n.id, Token: r.token}
+}
+
+// Stopped takes the answer of the worker to a stop. The run counts until the worker lists its end.
+func (r *Room) Stopped(now clock.Millis, id lavendercourse.RunID, s lavendercourse.Sight, reply lavendercourse.Reply, err error) []Action {
+	if err != nil {
+		return nil
+	}
+	if reply == lavendercourse.ReplyLife || !r.sight(now, s) {
+		return r.endLife(now)
+	}
+	if reply == lavendercourse.ReplyToken {
+		r.raise(s)
+	}
+	n := r.runs[keyOf(id)]
+	if n != nil && n.id == id && reply == lavendercourse.ReplyAccepted && n.barred == 0 {
+		n.barred = now
+	}
+	return nil
+}
+
+// Renewal returns the next renewal of the worker's lease.
+func (r *Room) Renewal(now clock.Millis) (string, lavendercourse.Renewal) {
+	renewal := lavendercourse.Renewal{Token: r.token, Seen: r.seen}
+	if r.token > 0 {
+		renewal.Until, renewal.Wait = r.grant(now), renewWait
+	}
+	worker := ""
+	if r.known {
+		worker = r.worker.ID
+	}
+	return worker, renewal
+}
+
+// Renewed takes the answer to a renewal that was sent at the given time.
+func (r *Room) Renewed(now, sent clock.Millis, l lavendercourse.Lists, reply lavendercourse.Reply) []Action {
+	if reply == lavendercourse.ReplyLife || !r.sight(now, l.Sight) {
+		return r.endLife(now)
+	}
+	if reply == lavendercourse.ReplyToken || (reply == lavendercourse.ReplyAccepted && r.token == 0) {
+		r.raise(l.Sight)
+		return nil
+	}
+	if reply != lavendercourse.ReplyAccepted {
+		return nil
+	}
+	actions := r.ended(now, l.Ended)
+	return r.listed(actions, now, sent, l.Running)
+}
+
+func (r *Room) ended(now clock.Millis, ends []lavendercourse.End) []Action {
+	var actions []Action
+	for _, e := range ends {
+		if e.Number <= r.seen {
+			continue
+		}
+		r.seen = e.Number
+		delete(r.foreign, e.Run)
+		n := r.runs[keyOf(e.Run)]
+		if n == nil || n.id != e.Run {
+			continue
+		}
+		kind, cause := e.Kind, ""
+		if n.state == stateStopping && kind != lavendercourse.EndDone {
+			kind, cause = n.kind, n.cause
+		}
+		actions = r.end(actions, now, n, kind, lavendercourse.ReplyAccepted, cause)
+	}
+	return actions
+}
+
+// listed compares what the worker runs with what it was asked to run, as of the time at which the renewal was sent.
+func (r *Room) listed(actions []Action, now, sent clock.Millis, running []lavendercourse.Running) []Action {
+	present := map[lavendercourse.RunID]bool{}
+	for _, on := range running {
+		present[on.Run] = true
+		n := r.runs[keyOf(on.Run)]
+		if n == nil || n.id != on.Run {
+			if !r.foreign[on.Run] {
+				r.foreign[on.Run] = true
+			}
+			actions = append(actions, StopRun{Worker: r.worker.ID, Run: on.Run, Token: r.token})
+			continue
+		}
+		if n.state == stateStarting {
+			n.state, n.started, n.moved = stateRunning, now, now
+		}
+		if on.Percent != n.percent {
+			n.percent, n.moved = on.Percent, now
+		}
+	}
+	for id := range r.foreign {
+		if !present[id] {
+			delete(r.foreign, id)
+		}
+	}
+	for _, n := range r.sorted() {
+		if present[n.id] {
+			continue
+		}
+		switch {
+		case n.state == stateRunning && n.started < sent:
+			actions = r.end(actions, now, n, lavendercourse.EndLost, lavendercourse.ReplyAccepted, causeMissing)
+		case n.state == stateStopping && n.barred > 0 && n.barred < sent:
+			actions = r.end(actions, now, n, n.kind, lavendercourse.ReplyAccepted, n.cause)
+		}
+	}
+	return actions
+}
+
+// Tick ends what has run out of time: leases of entries, the lease of a silent worker, and stops without effect.
+func (r *Room) Tick(now clock.Millis) []Action {
+	var actions []Action
+	if r.expired(now) {
+		for _, n := range r.sorted() {
+			actions = r.end(actions, now, n, lavendercourse.EndExpired, lavendercourse.ReplyAccepted, causeSilent)
+		}
+		return actions
+	}
+	for _, n := range r.sorted() {
+		switch {
+		case n.state == stateStopping && now-n.stopSent >= stopRetry:
+			actions = append(actions, r.sendStop(now, n))
+		case n.state != stateStopping && now-r.leases[n.entry] > r.cfg.OwnerLease:
+			actions = r.stop(actions, now, n, lavendercourse.EndStopped, causeOwner)
+		}
+	}
+	return actions
+}
+
+// expired tells whether everything on the worker has ended, since its lease cannot have been renewed.
+func (r *Room) expired(now clock.Millis) bool {
+	if len(r.runs) == 0 || now-r.heard < silentAfter {
+		return false
+	}
+	elapsed := now - r.workerAt
+	return r.workerClock+elapsed-elapsed*driftPercent/100 > r.granted+stopRetry
+}
+
+// end takes a run out of the table and tells its entry.
+func (r *Room) end(actions []Action, now clock.Millis, n *run, kind lavendercourse.EndKind, reason lavendercourse.Reply, cause string) []Action {
+	delete(r.runs, keyOf(n.id))
+	r.used = r.used.Minus(n.need)
+	if kind == lavendercourse.EndDone || kind == lavendercourse.EndFailed || kind == lavendercourse.EndSlow {
+		r.history.add(sample{at: now, job: n.id.Job, failed: kind != lavendercourse.EndDone})
+	}
+	if n.silent {
+		return actions
+	}
+	return append(actions, TellEnd{Entry: n.entry, Run: n.id, Kind: kind, Reason: reason, Took: now - n.began, Cause: cause})
+}
+
+// sorted returns the runs in the order in which they began, so that actions do not depend on the order of a map.
+func (r *Room) sorted() []*run {
+	all := make([]*run, 0, len(r.runs))
+	for _, n := range r.runs {
+		all = append(all, n)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i], all[j]
+		if a.began != b.began {
+			return a.began < b.began
+		}
+		if a.id.Job != b.id.Job {
+			return a.id.Job < b.id.Job
+		}
+		if a.id.Step != b.id.Step {
+			return a.id.Step < b.id.Step
+		}
+		return a.id.Task < b.id.Task
+	})
+	return all
+}
+
+// Heard tells whether the worker has answered within the given time.
+func (r *Room) Heard(now, within clock.Millis) bool { return r.heard > 0 && now-r.heard < within }
+
+// Cause returns why a run is being stopped.
+func (r *Room) Cause(id lavendercourse.RunID) string {
+	if n := r.runs[keyOf(id)]; n != nil && n.id == id {
+		return n.cause
+	}
+	return causeForeign
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,221 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/event"
+	"github.com/lavendercourse/lavendercourse/link"
+	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/room"
+	"github.com/lavendercourse/lavendercourse/roster"
+	"github.com/lavendercourse/lavendercourse/telemetry"
+)
+
+// headerTimeout bounds the time in which the worker must send the headers of a call.
+const headerTimeout = 3 * clock.Second
+
+// Runner is one running runner.
+type Runner struct {
+	cfg      Config
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     chan struct{}
+	log      *event.Log
+	dialer   *link.Dialer
+	measures *measures
+
+	mu      sync.Mutex
+	room    *room.Room
+	roster  *roster.Roster
+	entries map[string]*entryLink
+	// changed tells that runs have ended since entries that wait were last told.
+	changed bool
+	silent  bool
+	failing map[string]bool
+}
+
+// New starts a runner. It runs until Stop or Kill is called.
+func New(cfg Config) (*Runner, error) {
+	if cfg.Name == "" || cfg.Worker == nil || cfg.Reports == nil || cfg.Register == nil || cfg.Store == nil || cfg.Clock == nil {
+		return nil, eris.Wrap(ErrStart, "name, worker, listener, store and clock are needed")
+	}
+	if cfg.Counters == nil {
+		cfg.Counters = link.NewCounters()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
+	r := &Runner{
+		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}),
+		log:      event.NewLog(event.LogConfig{Logger: cfg.Logger, Clock: cfg.Clock, Budget: cfg.Budget}),
+		dialer:   link.NewDialer(dialer.DialContext),
+		measures: newMeasures(telemetry.NewMetrics(cfg.Counters)),
+		room:     room.New(cfg.Room), roster: roster.New(roster.Config{Name: cfg.Name, Links: maxLinks, Seeds: cfg.Seeds}),
+		entries: map[string]*entryLink{}, failing: map[string]bool{},
+	}
+	r.measures.metrics.Collect(r.collect)
+	s := suture.New(cfg.Name, suture.Spec{EventHook: func(ev suture.Event) {
+		event.Restart.On(cfg.Logger).Str("cause", ev.String()).Send()
+	}})
+	reports := mux.NewRouter()
+	cfg.Register(reports, sink{r})
+	s.Add(service{name: "reports", run: serving(reports, cfg.Reports)})
+	if cfg.Metrics != nil {
+		m := mux.NewRouter()
+		m.Handle(telemetry.MetricsPath, r.measures.metrics)
+		s.Add(service{name: "metrics", run: serving(m, cfg.Metrics)})
+	}
+	s.Add(service{name: "renew", run: r.renew})
+	s.Add(service{name: "lookup", run: r.lookup})
+	s.Add(service{name: "tick", run: every(tickPeriod, r.tick)})
+	s.Add(service{name: "dial", run: every(dialPeriod, r.dial)})
+	ended := s.ServeBackground(ctx)
+	go func() {
+		<-ended
+		close(r.done)
+	}()
+	event.Started.On(cfg.Logger).Str("runner", cfg.Name).Stringer("reports", cfg.Reports.Addr()).Send()
+	return r, nil
+}
+
+// Stop takes no new runs, waits for those that run and ends the runner. It gives up the runs that are left when the
+// platform is about to kill the process, or when ctx ends.
+func (r *Runner) Stop(ctx context.Context) error {
+	event.Stopping.On(r.cfg.Logger).Send()
+	began := r.cfg.Clock.Now()
+	r.mu.Lock()
+	r.room.Leave()
+	r.tellAll(began)
+	r.mu.Unlock()
+	for r.running() > 0 && ctx.Err() == nil && r.cfg.Clock.Now()-began < stopLimit {
+		time.Sleep(tickPeriod.Duration())
+	}
+	var err error
+	if n := r.running(); n > 0 {
+		event.CutOff.On(r.cfg.Logger).Int("tasks", n).Send()
+		err = eris.New("runs had not ended")
+	}
+	time.Sleep(farewell.Duration())
+	r.Kill()
+	event.Stopped.On(r.cfg.Logger).Send()
+	return err
+}
+
+// Kill ends the runner at once. Its worker ends what runs when the lease expires.
+func (r *Runner) Kill() {
+	r.cancel()
+	r.mu.Lock()
+	links := make([]*link.Link, 0, len(r.entries))
+	for _, e := range r.entries {
+		links = append(links, e.link)
+	}
+	r.mu.Unlock()
+	for _, l := range links {
+		l.Close()
+	}
+	<-r.done
+}
+
+func (r *Runner) running() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.room.Running()
+}
+
+// tick gives up what has run out of time and sends the reports that are due.
+func (r *Runner) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock.Now()
+	r.perform(now, r.room.Tick(now))
+	r.watchWorker(now)
+	for name, e := range r.entries {
+		r.enroll(name, e)
+		if e.enrolled && now-e.reported >= reportPeriod {
+			r.report(now, e)
+		}
+	}
+	r.offer(now)
+}
+
+// lookup reads the list of gateways from the store while there is no link.
+func (r *Runner) lookup(ctx context.Context) error {
+	for ctx.Err() == nil {
+		r.sleep(lookupPeriod)
+		r.mu.Lock()
+		alone := len(r.entries) == 0
+		r.mu.Unlock()
+		if !alone {
+			continue
+		}
+		c, err := r.cfg.Store.Contents(ctx, r.cfg.Entries)
+		if err != nil {
+			r.log.On(event.LogUnavailable).Str("stream", r.cfg.Entries).Err(err).Send()
+			continue
+		}
+		peers := make([]message.Peer, 0, len(c.Settings))
+		for _, s := range c.Settings {
+			peers = append(peers, message.Peer{Name: s.Key, Address: string(s.Value)})
+		}
+		r.mu.Lock()
+		r.roster.Learn(peers)
+		r.mu.Unlock()
+	}
+	return ctx.Err()
+}
+
+func (r *Runner) sleep(span clock.Millis) {
+	select {
+	case <-r.ctx.Done():
+	case <-time.After(span.Duration()):
+	}
+}
+
+type service struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+// String names the service in events.
+func (s service) String() string { return s.name }
+
+func serving(h http.Handler, l net.Listener) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout.Duration()}
+		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stop()
+		err := s.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-ctx.Done()
+			return suture.ErrDoNotRestart
+		}
+		return err
+	}
+}
+
+func every(period clock.Millis, do func()) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		t := time.NewTicker(period.Duration())
+		defer t.Stop()
+		for {
+			do()
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-t.C:
+			}
+		}
+	}
+}
--- a/settings/field.go
+++ b/settings/field.go
@@ -14,8 +14,14 @@
 	RoleAny   Role = ""
 	RoleEntry Role = "entry"
 	RoleAgent Role = "agent"
+	// RoleGateway and RoleRunner are the daemons on the users' platform.
+	RoleGateway Role = "gateway"
+	RoleRunner  Role = "runner"
 )
 
+// daemons lists the roles that have a section of their own.
+var daemons = []Role{RoleEntry, RoleAgent, RoleGateway, RoleRunner}
+
 // field is one key of the file.
 type field struct {
 	section string
@@ -32,12 +38,14 @@
 // incarnation counts as gone, an agent remembers a task 30 s longer than any job lives, and a lease of a task ends no
 // later than an entry gives up its agent.
 func fields(s *Settings) []field {
-	both := []Role{RoleEntry, RoleAgent}
+	all := []Role{RoleEntry, RoleAgent, RoleGateway, RoleRunner}
+	gateway, runner, platform := []Role{RoleGateway}, []Role{RoleRunner}, []Role{RoleGateway, RoleRunner}
 	entry, agent := []Role{RoleEntry}, []Role{RoleAgent}
 	p, e, a, l := &s.Place, &s.Entry, &s.Agent, &s.Limits
+	g, r := &s.Gateway, &s.Runner
 	return []field{
-		{"place", "region", name{&p.Region}, "", "region of the process", both},
-		{"place", "domain", name{&p.Domain}, "", "failure domain of the process", both},
+		{"place", "region", name{&p.Region}, "", "region of the process", all},
+		{"place", "domain", name{&p.Domain}, "", "failure domain of the process", all},
 		{"place", "rack", name{&p.Rack}, "", "rack of the worker", nil},
 
 		{"entry", "name", name{&e.Name}, "", "name of the entry, unique among the entries", entry},
@@ -56,6 +64,26 @@
 		{"agent", "memory", number{&a.Memory, 0, 1 << 24}, "MB", "memory of the worker; 0 means not known", nil},
 		{"agent", "cores", number{&a.Cores, 0, 4096}, "", "processor cores of the worker; 0 means not known", nil},
 
+		{"gateway", "name", name{&g.Name}, "", "name of the gateway, unique among the gateways", gateway},
+		{"gateway", "callers", address{&g.Callers}, "", "host and port for callers", gateway},
+		{"gateway", "ready", address{&g.Ready}, "", "host and port that tell the balancer whether callers may be sent here", gateway},
+		{"gateway", "links", address{&g.Links}, "", "host and port for links of runners and other gateways", gateway},
+		{"gateway", "metrics", address{&g.Metrics}, "", "host and port that serve /metrics; empty means none", nil},
+		{"gateway", "seeds", addresses{&g.Seeds}, "", "links of gateways, separated by commas, used until the store has told more", nil},
+		{"gateway", "jobs", number{&g.Jobs, 1, 1_000_000}, "", "jobs that may be unfinished at once; more are refused", nil},
+
+		{"runner", "name", name{&r.Name}, "", "name of the runner, unique among the runners", runner},
+		{"runner", "worker", address{&r.Worker}, "", "host and port of the worker", runner},
+		{"runner", "reports", address{&r.Reports}, "", "host and port for the heartbeats of the worker", runner},
+		{"runner", "metrics", address{&r.Metrics}, "", "host and port that serve /metrics; empty means none", nil},
+		{"runner", "seeds", addresses{&r.Seeds}, "", "links of gateways, separated by commas, used to find all others", nil},
+		{"runner", "timeout", span{&r.Timeout, 20, clock.Second}, "ms", "bound of each call to the worker", nil},
+
+		{"store", "address", address{&s.Store.Address}, "", "host and port of the platform's store", platform},
+		{"store", "timeout", span{&s.Store.Timeout, 100, 10 * clock.Second}, "ms", "bound of each call to the store", nil},
+
+		{"process", "memory", number{&s.Process.Memory, 0, 1 << 24}, "MB", "memory that the process may use; 0 means not known", nil},
+
 		{"platform", "address", address{&s.Platform.Address}, "", "host and port of the platform's log service", entry},
 		{"platform", "timeout", span{&s.Platform.Timeout, 100, 10 * clock.Second}, "ms", "bound of each request to the log", nil},
 		{"platform", "retention", span{&s.Platform.Retention, 2 * clock.Minute, 30 * 24 * 60 * clock.Minute}, "ms", "time for which the log keeps records; a snapshot is appended twice in it", nil},
@@ -79,6 +107,7 @@
 		{"slot", "bytes", number{&s.Slot.KeepBytes, 1 << 20, 1 << 32}, "bytes", "kept results of ended tasks", nil},
 
 		{"log", "level", choice{&s.Log.Level, []string{"debug", "info", "warn", "error"}}, "", "lowest level of the log lines", nil},
+		{"log", "budget", number{&s.Log.Budget, 1, 1_000_000}, "", "lines of one event in a second; more are left out and counted", nil},
 
 		{"trace", "exporter", choice{&s.Trace.Exporter, telemetry.Exporters}, "", "where traces are sent", nil},
 		{"trace", "endpoint", address{&s.Trace.Endpoint}, "", "host and port of the OTLP/HTTP collector of the exporter otlp", nil},
--- a/settings/load.go
+++ b/settings/load.go
@@ -70,8 +70,8 @@
 		c.field(f, role)
 	}
 	c.advertise(s)
-	if role == RoleAny && !c.has(string(RoleEntry)) && !c.has(string(RoleAgent)) {
-		c.add(0, "section [entry] or [agent] is missing")
+	if role == RoleAny && !slices.ContainsFunc(daemons, func(r Role) bool { return c.has(string(r)) }) {
+		c.add(0, "section [entry], [agent], [gateway] or [runner] is missing")
 	}
 	sort.SliceStable(c.problems, func(i, j int) bool { return c.problems[i].Line < c.problems[j].Line })
 	return c.problems
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,10 +6,12 @@
 
 	"github.com/lavendercourse/lavendercourse/admission"
 	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/event"
 	"github.com/lavendercourse/lavendercourse/job"
 	"github.com/lavendercourse/lavendercourse/logservice"
 	"github.com/lavendercourse/lavendercourse/member"
 	"github.com/lavendercourse/lavendercourse/placement"
+	"github.com/lavendercourse/lavendercourse/queue"
 	"github.com/lavendercourse/lavendercourse/slot"
 	"github.com/lavendercourse/lavendercourse/telemetry"
 )
@@ -22,6 +24,10 @@
 	Place    Place
 	Entry    Entry
 	Agent    Agent
+	Gateway  Gateway
+	Runner   Runner
+	Store    Store
+	Process  Process
 	Platform Platform
 	Limits   Limits
 	Member   member.Config
@@ -59,6 +65,42 @@
 	Metrics string
 }
 
+// Gateway holds the settings of a gateway.
+type Gateway struct {
+	Name    string
+	Callers string
+	Ready   string
+	Links   string
+	// Metrics is the address that serves metrics, or empty.
+	Metrics string
+	Seeds   []string
+	// Jobs is the number of jobs that may be unfinished at once.
+	Jobs int
+}
+
+// Runner holds the settings of a runner.
+type Runner struct {
+	Name    string
+	Worker  string
+	Reports string
+	// Metrics is the address that serves metrics, or empty.
+	Metrics string
+	Seeds   []string
+	Timeout clock.Millis
+}
+
+// Store holds the settings of the platform's store.
+type Store struct {
+	Address string
+	Timeout clock.Millis
+}
+
+// Process holds the limits of the process.
+type Process struct {
+	// Memory is what the process may use, in MB. 0 means not known.
+	Memory int
+}
+
 // Platform holds the settings of the platform's log service.
 type Platform struct {
 	Address   string
@@ -75,6 +117,8 @@
 // Log holds the settings of the log lines.
 type Log struct {
 	Level string
+	// Budget is the number of lines of one event in a second, for gateways and runners.
+	Budget int
 }
 
 // Trace holds the settings of traces.
@@ -86,6 +130,14 @@
 	Share int
 }
 
+const (
+	// DefaultWorkerTimeout bounds a call to the worker of the same VM. Three calls without an answer fit into the lease
+	// of the worker.
+	DefaultWorkerTimeout = 120 * clock.Millis(1)
+	// DefaultStoreTimeout leaves time for a store whose answers take fifty times the usual 4 ms.
+	DefaultStoreTimeout = 1500 * clock.Millis(1)
+)
+
 // Default returns the settings that a file may override.
 func Default() Settings {
 	return Settings{
@@ -104,7 +156,10 @@
 			Slots: slot.DefaultSlots, Connections: slot.DefaultConnections, Validity: slot.DefaultValidity,
 			Lease: slot.DefaultLease, Memory: slot.DefaultMemory, Keep: slot.DefaultKeep, KeepBytes: slot.DefaultKeepBytes,
 		},
-		Log:   Log{Level: "info"},
-		Trace: Trace{Exporter: telemetry.ExportNone, Endpoint: "127.0.0.1:4318", Share: 1},
+		Gateway: Gateway{Jobs: queue.DefaultMaxJobs},
+		Runner:  Runner{Timeout: DefaultWorkerTimeout},
+		Store:   Store{Timeout: DefaultStoreTimeout},
+		Log:     Log{Level: "info", Budget: event.DefaultBudget},
+		Trace:   Trace{Exporter: telemetry.ExportNone, Endpoint: "127.0.0.1:4318", Share: 1},
 	}
 }
