Start nothing on a worker before it has listed what runs there

Cause: a runner that was killed leaves runs behind until the lease of the worker expires. Ruled out: a late start of the predecessor; the worker refuses its lower token. Test: TestNothingStartsBeforeTheWorkerIsSurveyed, which failed first.

--- a/room/room.go
+++ b/room/room.go
@@ -50,7 +50,9 @@
 	// foreign holds runs that this runner did not order: those of its predecessor. They are stopped, and nothing is
 	// started before they have ended, since their size is not known.
 	foreign map[lavendercourse.RunID]bool
-	used    lavendercourse.Resources
+	// surveyed is set once the worker has listed what runs there under the token in use.
+	surveyed bool
+	used     lavendercourse.Resources
 	// leases holds the newest stamp that each entry has sent back.
 	leases  map[string]clock.Millis
 	history history
@@ -85,7 +87,7 @@
 
 // Open tells whether new runs are taken.
 func (r *Room) Open(now clock.Millis) bool {
-	return r.known && !r.draining && !r.leaving && r.token > 0 && len(r.foreign) == 0 && now-r.heard < silentAfter
+	return r.known && !r.draining && !r.leaving && r.surveyed && len(r.foreign) == 0 && now-r.heard < silentAfter
 }
 
 // Free returns what the worker has left.
@@ -141,7 +143,7 @@
 	}
 	r.foreign = map[lavendercourse.RunID]bool{}
 	r.born, r.token, r.seen, r.workerClock, r.workerAt, r.granted, r.heard = 0, 0, 0, 0, 0, 0, 0
-	r.draining = false
+	r.draining, r.surveyed = false, false
 	return actions
 }
 
@@ -271,6 +273,7 @@
 // successor always finds a higher token.
 func (r *Room) raise(s lavendercourse.Sight) {
 	r.token = max(r.token+1, int64(s.Clock))
+	r.surveyed = false
 }
 
 // Recall stops runs of an entry. Those that are not known here have ended or never started; they are told as ended.
@@ -357,6 +360,7 @@
 	if reply != lavendercourse.ReplyAccepted {
 		return nil
 	}
+	r.surveyed = true
 	actions := r.ended(now, l.Ended)
 	return r.listed(actions, now, sent, l.Running)
 }
--- /dev/null
+++ b/room/room_test.go
@@ -0,0 +1,227 @@
+package room_test
+
+import (
+	"errors"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/room"
+)
+
+const (
+	entryName  = "e1"
+	workerName = "w1"
+	firstLife  = 1000
+)
+
+var (
+	errLost  = errors.New("no answer")
+	capacity = lavendercourse.Resources{CPU: 32000, Memory: 65536}
+	need     = lavendercourse.Resources{CPU: 3100, Memory: 64}
+)
+
+// bench drives a table with a worker whose clock is 100 s ahead of the runner's.
+type bench struct {
+	*testing.T
+	room *room.Room
+	now  clock.Millis
+	ends int64
+	seq  int64
+}
+
+func newBench(t *testing.T) *bench {
+	return &bench{T: t, room: room.New(room.Config{}), now: 10 * clock.Second}
+}
+
+// newOpenBench returns a bench whose worker takes runs.
+func newOpenBench(t *testing.T) *bench {
+	b := newBench(t)
+	b.beat(firstLife, false)
+	b.renew(lavendercourse.ReplyAccepted)
+	b.renew(lavendercourse.ReplyAccepted)
+	assert.Assert(t, b.room.Open(b.now))
+	return b
+}
+
+func (b *bench) sight() lavendercourse.Sight {
+	return lavendercourse.Sight{Clock: b.now + 100*clock.Second, Born: firstLife}
+}
+
+func (b *bench) beat(born int64, draining bool) []room.Action {
+	b.seq++
+	actions, _ := b.room.Beat(b.now, lavendercourse.WorkerReport{
+		ID: workerName, Born: born, Service: "s", Domain: "d", Capacity: capacity, Draining: draining, Sequence: b.seq,
+	})
+	return actions
+}
+
+// renew plays a renewal that the worker answers at once with the given runs.
+func (b *bench) renew(reply lavendercourse.Reply, running ...lavendercourse.RunID) []room.Action {
+	return b.renewLists(reply, running, nil)
+}
+
+func (b *bench) renewLists(reply lavendercourse.Reply, running []lavendercourse.RunID, ended []lavendercourse.End) []room.Action {
+	sent := b.now
+	b.room.Renewal(sent)
+	b.now++
+	l := lavendercourse.Lists{Sight: b.sight(), Ended: ended}
+	for _, id := range running {
+		l.Running = append(l.Running, lavendercourse.Running{Run: id, Percent: 10})
+	}
+	return b.room.Renewed(b.now, sent, l, reply)
+}
+
+func (b *bench) order(ids ...lavendercourse.RunID) []room.Action {
+	return b.room.Order(b.now, entryName, message.Order{Stamp: b.now, Payload: "p", Need: need, Estimate: 200, Runs: ids})
+}
+
+func (b *bench) end(id lavendercourse.RunID, kind lavendercourse.EndKind, running ...lavendercourse.RunID) []room.Action {
+	b.ends++
+	return b.renewLists(lavendercourse.ReplyAccepted, running, []lavendercourse.End{{Number: b.ends, Run: id, Kind: kind}})
+}
+
+func runID(task int) lavendercourse.RunID { return lavendercourse.RunID{Job: "j1", Task: task, Run: 1} }
+
+// names describes actions in short, so that whole sequences can be compared.
+func names(actions []room.Action) []string {
+	all := []string{}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case room.StartRun:
+			all = append(all, "start "+strconv.Itoa(a.Order.Run.Task))
+		case room.StopRun:
+			all = append(all, "stop "+strconv.Itoa(a.Run.Task))
+		case room.TellEnd:
+			all = append(all, a.Kind.String()+" "+strconv.Itoa(a.Run.Task))
+		}
+	}
+	return all
+}
+
+// Guards against a start beside runs of a runner that was killed: until the worker has listed what it runs under this
+// runner's token, how much of its capacity is free is not known.
+func TestNothingStartsBeforeTheWorkerIsSurveyed(t *testing.T) {
+	b := newBench(t)
+	b.beat(firstLife, false)
+	b.renew(lavendercourse.ReplyToken)
+	assert.DeepEqual(t, names(b.order(runID(0))), []string{"refused 0"})
+	left := lavendercourse.RunID{Job: "old", Task: 7, Run: 1}
+	assert.DeepEqual(t, names(b.renew(lavendercourse.ReplyAccepted, left)), []string{"stop 7"})
+	assert.DeepEqual(t, names(b.order(runID(0))), []string{"refused 0"})
+	b.renew(lavendercourse.ReplyAccepted)
+	assert.DeepEqual(t, names(b.order(runID(0))), []string{"start 0"})
+}
+
+// Guards against more runs than the worker has room for, and against room that is given away before a stopped run has
+// ended.
+func TestRoomIsNeverExceeded(t *testing.T) {
+	b := newOpenBench(t)
+	var ids []lavendercourse.RunID
+	for i := range 11 {
+		ids = append(ids, runID(i))
+	}
+	started := b.order(ids...)
+	assert.Equal(t, len(started), 11)
+	assert.Equal(t, names(started)[9], "start 9")
+	assert.Equal(t, names(started)[10], "refused 10")
+	for _, id := range ids[:10] {
+		b.room.Started(b.now, id, b.sight(), lavendercourse.ReplyAccepted, nil)
+	}
+	b.now += 5
+	assert.DeepEqual(t, names(b.room.Recall(b.now, entryName, b.now, ids[:1])), []string{"stop 0"})
+	b.room.Stopped(b.now, ids[0], b.sight(), lavendercourse.ReplyAccepted, nil)
+	assert.DeepEqual(t, names(b.order(ids[10])), []string{"refused 10"})
+	assert.DeepEqual(t, names(b.end(ids[0], lavendercourse.EndStopped, ids[1:10]...)), []string{"stopped 0"})
+	assert.DeepEqual(t, names(b.order(ids[10])), []string{"start 10"})
+}
+
+// Guards against two runs of a task at once: a start whose answer was lost may have been carried out, so that the run
+// is stopped and counts until the worker no longer lists it.
+func TestUnansweredStartIsStopped(t *testing.T) {
+	b := newOpenBench(t)
+	b.order(runID(0))
+	assert.DeepEqual(t, names(b.room.Started(b.now, runID(0), lavendercourse.Sight{}, lavendercourse.ReplyOther, errLost)), []string{"start 0"})
+	assert.DeepEqual(t, names(b.room.Started(b.now, runID(0), lavendercourse.Sight{}, lavendercourse.ReplyOther, errLost)), []string{"stop 0"})
+	assert.Assert(t, b.room.Owes(entryName))
+	b.room.Stopped(b.now, runID(0), lavendercourse.Sight{}, lavendercourse.ReplyOther, errLost)
+	b.now += 150
+	assert.DeepEqual(t, names(b.room.Tick(b.now)), []string{"stop 0"})
+	b.room.Stopped(b.now, runID(0), b.sight(), lavendercourse.ReplyAccepted, nil)
+	assert.DeepEqual(t, names(b.renew(lavendercourse.ReplyAccepted, runID(0))), []string{})
+	assert.DeepEqual(t, names(b.renew(lavendercourse.ReplyAccepted)), []string{"stopped 0"})
+	assert.Assert(t, !b.room.Owes(entryName))
+}
+
+// Guards against an order that is carried out long after its entry gave it up: the VM was suspended, or the order was
+// held up on its way.
+func TestOldOrderIsRefused(t *testing.T) {
+	b := newOpenBench(t)
+	stamp := b.now
+	b.now += room.DefaultValidity + 1
+	b.renew(lavendercourse.ReplyAccepted)
+	actions := b.room.Order(b.now, entryName, message.Order{Stamp: stamp, Need: need, Runs: []lavendercourse.RunID{runID(0)}})
+	assert.DeepEqual(t, names(actions), []string{"refused 0"})
+}
+
+// Guards against runs that go on after their entry has gone silent, or after its link has ended.
+func TestRunsEndWithTheirEntry(t *testing.T) {
+	b := newOpenBench(t)
+	b.order(runID(0), runID(1))
+	for i := range 2 {
+		b.room.Started(b.now, runID(i), b.sight(), lavendercourse.ReplyAccepted, nil)
+	}
+	for range 4 {
+		b.now += 200
+		b.renew(lavendercourse.ReplyAccepted, runID(0), runID(1))
+		assert.Equal(t, len(b.room.Tick(b.now)), 0)
+	}
+	b.now += 200
+	assert.DeepEqual(t, names(b.room.Tick(b.now)), []string{"stop 0", "stop 1"})
+
+	c := newOpenBench(t)
+	c.order(runID(0))
+	c.room.Started(c.now, runID(0), c.sight(), lavendercourse.ReplyAccepted, nil)
+	assert.DeepEqual(t, names(c.room.Gone(c.now, entryName)), []string{"stop 0"})
+	assert.Assert(t, c.room.Owes(entryName))
+	assert.DeepEqual(t, names(c.end(runID(0), lavendercourse.EndStopped)), []string{})
+	assert.Assert(t, !c.room.Owes(entryName))
+}
+
+// Guards against a silent worker whose runs are given up before its lease has expired, or never.
+func TestSilentWorkerLosesItsRunsWithItsLease(t *testing.T) {
+	b := newOpenBench(t)
+	b.order(runID(0))
+	b.room.Started(b.now, runID(0), b.sight(), lavendercourse.ReplyAccepted, nil)
+	began := b.now
+	for b.now < began+room.DefaultWorkerLease {
+		b.now += 50
+		b.room.Keep(entryName, b.now)
+		assert.DeepEqual(t, names(b.room.Tick(b.now)), []string{})
+	}
+	b.now += 200
+	b.room.Keep(entryName, b.now)
+	assert.DeepEqual(t, names(b.room.Tick(b.now)), []string{"expired 0"})
+}
+
+// Guards against runs that are believed to go on in a new life of the worker, and against a heartbeat of an earlier
+// life that was delayed.
+func TestNewLifeEndsAllRuns(t *testing.T) {
+	b := newOpenBench(t)
+	b.order(runID(0))
+	b.room.Started(b.now, runID(0), b.sight(), lavendercourse.ReplyAccepted, nil)
+	assert.DeepEqual(t, names(b.beat(firstLife-1, false)), []string{})
+	assert.DeepEqual(t, names(b.beat(firstLife+1, false)), []string{"lost 0"})
+	assert.Assert(t, !b.room.Open(b.now))
+}
+
+// Guards against a start after the worker said that it is draining.
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	b := newOpenBench(t)
+	b.beat(firstLife, true)
+	assert.DeepEqual(t, names(b.order(runID(0))), []string{"refused 0"})
+}
