--- a/queue/config.go
+++ b/queue/config.go
@@ -22,6 +22,10 @@
 	oldRunStep = 8
 	// memory is the time for which the run numbers of an ended job are kept, in case it is submitted again.
 	memory = 15 * clock.Second
+	// shortBacklog is the number of waiting jobs that are looked through at every event, pumpPeriod the time between two
+	// looks through more.
+	shortBacklog = 16
+	pumpPeriod   = 5 * clock.Millis(1)
 	// trialPeriod is the time between two runs on a runner whose runs fail.
 	trialPeriod = 400 * clock.Millis(1)
 	// minFailures is the number of jobs that must fail on a runner before it counts as failing.
--- a/queue/job.go
+++ b/queue/job.go
@@ -25,8 +25,6 @@
 	// run is the number of the last run.
 	run    int
 	runner *Runner
-	// life is the link of the runner on which the order was sent.
-	life int
 	// failures counts the runs that failed. avoid names the runner of the last run that did not end well.
 	failures int
 	avoid    string
@@ -52,6 +50,8 @@
 	limit clock.Millis
 	// chain is the longest chain of estimates, in ms.
 	chain clock.Millis
+	// least is the smallest need of processor of a task.
+	least int
 	// waiting and sent count tasks.
 	waiting int
 	sent    int
@@ -90,6 +90,9 @@
 		ends[i] = begin + step.Estimate
 		j.chain = max(j.chain, ends[i])
 		j.left[i] = step.Count
+		if i == 0 || step.Need.CPU < j.least {
+			j.least = step.Need.CPU
+		}
 		for n := range step.Count {
 			j.tasks = append(j.tasks, &task{job: j, step: i, index: n, run: firstRun})
 		}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -38,7 +38,9 @@
 	runs    map[string]int
 	past    []remembered
 	// wants is whether tasks waited for room when they were last looked through.
-	wants    bool
+	wants bool
+	// pumped is the time at which they were.
+	pumped   clock.Millis
 	stopping bool
 }
 
@@ -122,7 +124,7 @@
 	}
 	t.jobs[j.key] = j
 	t.waiting = append(t.waiting, j)
-	return j, lavendercourse.JobAnswer{}, t.Pump(now)
+	return j, lavendercourse.JobAnswer{}, t.pumpSoon(now)
 }
 
 func refusal(cause string, retry clock.Millis) lavendercourse.JobAnswer {
@@ -221,7 +223,7 @@
 		return nil
 	}
 	r.update(now, report)
-	return t.Pump(now)
+	return t.pumpSoon(now)
 }
 
 // Stamp returns the newest stamp of a runner.
@@ -246,7 +248,7 @@
 			actions = t.end(actions, now, r, task, end)
 		}
 	}
-	return append(actions, t.Pump(now)...)
+	return append(actions, t.pumpSoon(now)...)
 }
 
 func (r *Runner) find(id lavendercourse.RunID) *task {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -55,7 +55,6 @@
 	for _, p := range peers {
 		if p.Name != "" && p.Address != "" && p.Name != r.cfg.Name && r.peers[p.Name] != p.Address {
 			r.peers[p.Name] = p.Address
-			delete(r.dialed, p.Address)
 			r.changed++
 		}
 	}
