Dial again after 100 ms while a gateway has not been reached

Cause: after a loss of power of all VMs a runner that dialed a VM which was still off waited for the kernel to repeat the opening packet, a second later, and doubled its pause.

--- a/gateway/link.go
+++ b/gateway/link.go
@@ -55,6 +55,7 @@
 	g.mu.Lock()
 	failing := g.failing[address]
 	g.failing[address] = err != nil
+	g.roster.Dialed(g.cfg.Clock.Now(), address)
 	g.mu.Unlock()
 	if err != nil {
 		if !failing && g.ctx.Err() == nil {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// firstPause and lastPause are the times in ms between two dials of an address that does not answer.
-	firstPause = 200 * clock.Millis(1)
-	lastPause  = 3 * clock.Second
-	// seedPause is the time between two dials of an address whose entry is known by another address or not at all.
-	seedPause = clock.Second
+	// firstPause is the time in ms between the first dials of an address that does not answer, so that links are made
+	// soon after all VMs have lost power. lastPause is that between later ones.
+	firstPause = 100 * clock.Millis(1)
+	lastPause  = 2 * clock.Second
+	// firstDials is the number of dials after which an address counts as gone for long.
+	firstDials = 20
 )
 
 // Config says who asks.
@@ -31,9 +32,12 @@
 	Seeds []string
 }
 
+// dialing holds the dials of an address since it was last linked.
 type dialing struct {
 	at    clock.Millis
-	pause clock.Millis
+	count int
+	// open is set while a dial has not ended.
+	open bool
 }
 
 // Roster is the list of entries and of the links to them.
@@ -105,12 +109,12 @@
 		known[address] = known[address] || r.linked[name]
 	}
 	for _, name := range ranked {
-		if address := r.peers[name]; !r.linked[name] && !known[address] && r.try(now, address, lastPause) {
+		if address := r.peers[name]; !r.linked[name] && !known[address] && r.try(now, address) {
 			due = append(due, address)
 		}
 	}
 	for _, address := range r.cfg.Seeds {
-		if !known[address] && !slices.Contains(due, address) && !r.isPeer(address) && r.try(now, address, seedPause) {
+		if !known[address] && !slices.Contains(due, address) && !r.isPeer(address) && r.try(now, address) {
 			due = append(due, address)
 		}
 	}
@@ -124,7 +128,7 @@
 		if len(chosen) == r.cfg.Links {
 			break
 		}
-		if r.linked[name] || r.dialed[r.peers[name]].pause < lastPause {
+		if r.linked[name] || r.dialed[r.peers[name]].count < firstDials {
 			chosen = append(chosen, name)
 		}
 	}
@@ -140,12 +144,24 @@
 	return false
 }
 
-// try tells whether an address is due, and doubles the pause until it is due again.
-func (r *Roster) try(now clock.Millis, address string, longest clock.Millis) bool {
-	d, ok := r.dialed[address]
-	if ok && now-d.at < d.pause {
+// try tells whether an address is due.
+func (r *Roster) try(now clock.Millis, address string) bool {
+	d := r.dialed[address]
+	pause := firstPause
+	if d.count >= firstDials {
+		pause = lastPause
+	}
+	if d.open || (d.count > 0 && now-d.at < pause) {
 		return false
 	}
-	r.dialed[address] = dialing{at: now, pause: min(max(2*d.pause, firstPause), longest)}
+	r.dialed[address] = dialing{at: now, count: d.count + 1, open: true}
 	return true
 }
+
+// Dialed takes note that the dial of an address has ended.
+func (r *Roster) Dialed(now clock.Millis, address string) {
+	if d, ok := r.dialed[address]; ok {
+		d.at, d.open = now, false
+		r.dialed[address] = d
+	}
+}
--- a/runner/link.go
+++ b/runner/link.go
@@ -36,6 +36,7 @@
 	r.mu.Lock()
 	failing := r.failing[address]
 	r.failing[address] = err != nil
+	r.roster.Dialed(r.cfg.Clock.Now(), address)
 	r.mu.Unlock()
 	if err != nil {
 		if !failing && r.ctx.Err() == nil {
