--- a/command/daemon.go
+++ b/command/daemon.go
@@ -40,6 +40,7 @@
 	if s.Process.Memory > 0 {
 		debug.SetMemoryLimit(int64(s.Process.Memory) << 20 * memoryShare / 100)
 	}
+	logger = logger.With().Str("node", s.NodeName(role)).Logger()
 	d, err := start(s, logger)
 	if err != nil {
 		return failure(ExitFailed, "%s did not start: %v", role, err)
--- a/command/root.go
+++ b/command/root.go
@@ -21,6 +21,8 @@
 const (
 	defaultAddress  = "127.0.0.1:7100"
 	defaultSettings = "lavendercourse.ini"
+	// logTime is the format of the times in log lines. Whole seconds would not order the lines of one job.
+	logTime = "2006-01-02T15:04:05.000Z07:00"
 	// defaultTimeout leaves time for the longest job, 300 s, and its response.
 	defaultTimeout = 330 * time.Second
 )
@@ -95,7 +97,7 @@
 			newDrain(c), newRestore(c), newDomains(c)),
 		newWorkers(c),
 		newGroup("settings", "Work with settings files", newCheck(c)),
-		newVersion(c), newEntry(c), newAgent(c), newGateway(c), newRunner(c),
+		newVersion(c), newEntry(c), newAgent(c), newGateway(c), newRunner(c), newExplain(c),
 	)
 	return root
 }
@@ -139,6 +141,7 @@
 	if err != nil {
 		return s, zerolog.Nop(), failure(ExitSettings, "%s did not start: %v", role, err)
 	}
+	zerolog.TimeFieldFormat = logTime
 	return s, zerolog.New(out).Level(level).With().Timestamp().Logger(), nil
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -138,6 +138,21 @@
 	DefaultStoreTimeout = 1500 * clock.Millis(1)
 )
 
+// NodeName returns the name of the process in the given role.
+func (s Settings) NodeName(role Role) string {
+	switch role {
+	case RoleEntry:
+		return s.Entry.Name
+	case RoleAgent:
+		return s.Agent.Name
+	case RoleGateway:
+		return s.Gateway.Name
+	case RoleRunner:
+		return s.Runner.Name
+	}
+	return ""
+}
+
 // Default returns the settings that a file may override.
 func Default() Settings {
 	return Settings{
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -48,7 +48,7 @@
 		want []string
 	}{
 		{"good entry", goodEntry, settings.RoleEntry, nil},
-		{"empty", "", settings.RoleAny, []string{": section [entry] or [agent] is missing"}},
+		{"empty", "", settings.RoleAny, []string{": section [entry], [agent], [gateway] or [runner] is missing"}},
 		{"missing for agent", "[agent]\n", settings.RoleAgent, []string{
 			": key region is missing from section [place]", ": key domain is missing from section [place]",
 			":1: key name is missing from section [agent]", ":1: key entries is missing from section [agent]",
