Move runs off workers that stand still or are slow; give up the runs of a worker that has ended

A worker that is gone kept its runs at the runner for ever: each renewal without an answer extended the lease that it may have granted. Renewals extend nothing after 350 ms without an answer now, and a refused connection ends all runs.

--- a/message/queue.go
+++ b/message/queue.go
@@ -34,6 +34,10 @@
 	// Failed and Ended count the runs of the last seconds that failed, and all that ended.
 	Failed int
 	Ended  int
+	// Pace is how fast runs go, in percent of what their estimates say; 0 means not known. Slow tells that this is too
+	// slow for runs that have to be in time.
+	Pace int
+	Slow bool
 }
 
 // Order asks a runner to start runs of one job.
--- a/queue/runner.go
+++ b/queue/runner.go
@@ -39,9 +39,10 @@
 // Sent returns the number of runs whose end is not known.
 func (r *Runner) Sent() int { return len(r.sent) }
 
-// Failing tells whether most runs of the runner fail, whatever their job.
+// Failing tells whether runs of the runner do not end as they should, whatever their job: most fail, or they go too
+// slowly.
 func (r *Runner) Failing() bool {
-	return r.report.Failed >= minFailures && r.report.Failed*100 >= failingPercent*r.report.Ended
+	return r.report.Slow || r.report.Failed >= minFailures && r.report.Failed*100 >= failingPercent*r.report.Ended
 }
 
 func (r *Runner) update(now clock.Millis, report message.Report) {
--- a/room/config.go
+++ b/room/config.go
@@ -25,12 +25,33 @@
 	renewWait = 200 * clock.Millis(1)
 	// stopRetry is the time after which a stop without effect is repeated. A worker needs up to 50 ms.
 	stopRetry = 100 * clock.Millis(1)
+	// doubtAfter is the time without an answer after which renewals no longer extend the lease, so that the runs of a
+	// worker that has ended are given up when the lease does.
+	doubtAfter = 350 * clock.Millis(1)
 	// silentAfter is the time without an answer after which a worker gets no new runs.
 	silentAfter = 500 * clock.Millis(1)
-	// maxStarts is the number of times that a start without an answer is sent.
-	maxStarts = 2
+	// maxStarts is the number of times that a start without an answer is sent. A repeated start does no harm, since the
+	// worker knows the run.
+	maxStarts = 4
 	// driftPercent is by how much the clock of a worker may be slow.
 	driftPercent = 2
+	// watchWait is the time for which a renewal waits while a run takes longer than expected, so that a worker that
+	// stands still is noticed soon.
+	watchWait = 40 * clock.Millis(1)
+	// overduePercent of its estimate is the time after which a run takes longer than expected.
+	overduePercent = 130
+	// paceSpan is the sum of run times in ms that one measure of the pace needs, paceJobs the number of jobs in it. The
+	// estimates of a job are often off by a half, and all its tasks share the error.
+	paceSpan = 250 * clock.Millis(1)
+	paceJobs = 3
+	// stalledPercent of its estimate without progress makes a run count as standing still, which is several steps of the
+	// progress even where the estimate is three times too low. stalledLeast is the least such time in ms.
+	stalledPercent = 16
+	stalledLeast   = 100 * clock.Millis(1)
+	// slowPercent is the pace below which runs are moved elsewhere if they would take longer here than there.
+	slowPercent = 45
+	// moveOverhead is the time in ms that a run loses when it is moved: its stop and the way to another worker.
+	moveOverhead = 60 * clock.Millis(1)
 	// historyLength is the number of ends that the failure rate and the pace are taken from.
 	historyLength = 24
 	// historyAge is the age above which an end tells nothing any more.
--- a/room/room.go
+++ b/room/room.go
@@ -56,6 +56,7 @@
 	// leases holds the newest stamp that each entry has sent back.
 	leases  map[string]clock.Millis
 	history history
+	pace    pace
 }
 
 // New returns a table without a worker.
@@ -98,6 +99,7 @@
 	failed, ended := r.history.rates(now)
 	return message.Report{
 		Stamp: now, Free: r.Free(), Running: len(r.runs), Open: r.Open(now), Failed: failed, Ended: ended,
+		Pace: r.pace.percent, Slow: r.pace.slow(),
 	}
 }
 
@@ -144,6 +146,7 @@
 	r.foreign = map[lavendercourse.RunID]bool{}
 	r.born, r.token, r.seen, r.workerClock, r.workerAt, r.granted, r.heard = 0, 0, 0, 0, 0, 0, 0
 	r.draining, r.surveyed = false, false
+	r.pace = pace{}
 	return actions
 }
 
@@ -158,7 +161,7 @@
 			continue
 		}
 		n := &run{
-			id: id, entry: entry, payload: o.Payload, need: o.Need, estimate: o.Estimate, began: now, moved: now,
+			id: id, entry: entry, payload: o.Payload, need: o.Need, estimate: o.Estimate, began: now, observed: now, moved: now,
 		}
 		r.runs[keyOf(id)] = n
 		r.used = r.used.Plus(n.need)
@@ -244,7 +247,7 @@
 	}
 	if reply == lavendercourse.ReplyAccepted {
 		if n.state == stateStarting {
-			n.state, n.started, n.moved = stateRunning, now, now
+			n.state, n.started, n.observed, n.moved = stateRunning, now, now, now
 		}
 		return nil
 	}
@@ -338,8 +341,8 @@
 // Renewal returns the next renewal of the worker's lease.
 func (r *Room) Renewal(now clock.Millis) (string, lavendercourse.Renewal) {
 	renewal := lavendercourse.Renewal{Token: r.token, Seen: r.seen}
-	if r.token > 0 {
-		renewal.Until, renewal.Wait = r.grant(now), renewWait
+	if r.token > 0 && (r.heard == 0 || now-r.heard < doubtAfter) {
+		renewal.Until, renewal.Wait = r.grant(now), r.wait(now)
 	}
 	worker := ""
 	if r.known {
@@ -348,6 +351,16 @@
 	return worker, renewal
 }
 
+// wait returns the time for which a renewal waits for an end.
+func (r *Room) wait(now clock.Millis) clock.Millis {
+	for _, n := range r.runs {
+		if n.state == stateRunning && n.estimate > 0 && (now-n.started)*100 > n.estimate*overduePercent {
+			return watchWait
+		}
+	}
+	return renewWait
+}
+
 // Renewed takes the answer to a renewal that was sent at the given time.
 func (r *Room) Renewed(now, sent clock.Millis, l lavendercourse.Lists, reply lavendercourse.Reply) []Action {
 	if reply == lavendercourse.ReplyLife || !r.sight(now, l.Sight) {
@@ -377,6 +390,9 @@
 		if n == nil || n.id != e.Run {
 			continue
 		}
+		if e.Kind.Well() && n.state == stateRunning {
+			r.pace.observe(n, now, 100)
+		}
 		kind, cause := e.Kind, ""
 		if n.state == stateStopping && kind != lavendercourse.EndDone {
 			kind, cause = n.kind, n.cause
@@ -400,10 +416,14 @@
 			continue
 		}
 		if n.state == stateStarting {
-			n.state, n.started, n.moved = stateRunning, now, now
+			n.state, n.started, n.observed, n.moved = stateRunning, now, now, now
 		}
-		if on.Percent != n.percent {
-			n.percent, n.moved = on.Percent, now
+		if n.state == stateRunning {
+			r.pace.observe(n, now, on.Percent)
+			if on.Percent != n.percent {
+				n.moved = now
+			}
+			n.percent, n.observed = on.Percent, now
 		}
 	}
 	for id := range r.foreign {
@@ -422,9 +442,44 @@
 			actions = r.end(actions, now, n, n.kind, lavendercourse.ReplyAccepted, n.cause)
 		}
 	}
+	return r.move(actions, now)
+}
+
+// move stops the runs that stand still, and while the pace is slow those that would end sooner on another worker.
+func (r *Room) move(actions []Action, now clock.Millis) []Action {
+	all := r.sorted()
+	stalled, running := map[string]bool{}, 0
+	for _, n := range all {
+		if n.state == stateRunning {
+			running++
+		}
+		if n.stalled(now) {
+			stalled[n.id.Job] = true
+			running--
+		}
+	}
+	if len(stalled) > 1 || (len(stalled) == 1 && running == 0) {
+		r.pace = pace{percent: 1}
+	}
+	for _, n := range all {
+		switch {
+		case n.stalled(now):
+			actions = r.stop(actions, now, n, lavendercourse.EndSlow, causeStalled)
+		case r.pace.slow() && n.state == stateRunning && n.estimate > 0 && r.left(n) > n.estimate+moveOverhead:
+			actions = r.stop(actions, now, n, lavendercourse.EndSlow, causeSlow)
+		}
+	}
 	return actions
 }
 
+// left returns the time in ms that a run still needs at the present pace.
+func (r *Room) left(n *run) clock.Millis {
+	return n.estimate * clock.Millis(100-n.percent) / clock.Millis(r.pace.percent)
+}
+
+// Down takes note that nothing listens at the worker's address: its process has ended, and with it all runs.
+func (r *Room) Down(now clock.Millis) []Action { return r.endLife(now) }
+
 // Tick ends what has run out of time: leases of entries, the lease of a silent worker, and stops without effect.
 func (r *Room) Tick(now clock.Millis) []Action {
 	var actions []Action
@@ -458,7 +513,7 @@
 func (r *Room) end(actions []Action, now clock.Millis, n *run, kind lavendercourse.EndKind, reason lavendercourse.Reply, cause string) []Action {
 	delete(r.runs, keyOf(n.id))
 	r.used = r.used.Minus(n.need)
-	if kind == lavendercourse.EndDone || kind == lavendercourse.EndFailed || kind == lavendercourse.EndSlow {
+	if kind == lavendercourse.EndDone || kind == lavendercourse.EndFailed {
 		r.history.add(sample{at: now, job: n.id.Job, failed: kind != lavendercourse.EndDone})
 	}
 	if n.silent {
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -32,6 +32,8 @@
 	now  clock.Millis
 	ends int64
 	seq  int64
+	// percent is the progress that the worker lists for its runs.
+	percent int
 }
 
 func newBench(t *testing.T) *bench {
@@ -71,13 +73,13 @@
 	b.now++
 	l := lavendercourse.Lists{Sight: b.sight(), Ended: ended}
 	for _, id := range running {
-		l.Running = append(l.Running, lavendercourse.Running{Run: id, Percent: 10})
+		l.Running = append(l.Running, lavendercourse.Running{Run: id, Percent: b.percent})
 	}
 	return b.room.Renewed(b.now, sent, l, reply)
 }
 
 func (b *bench) order(ids ...lavendercourse.RunID) []room.Action {
-	return b.room.Order(b.now, entryName, message.Order{Stamp: b.now, Payload: "p", Need: need, Estimate: 200, Runs: ids})
+	return b.room.Order(b.now, entryName, message.Order{Stamp: b.now, Payload: "p", Need: need, Estimate: 2000, Runs: ids})
 }
 
 func (b *bench) end(id lavendercourse.RunID, kind lavendercourse.EndKind, running ...lavendercourse.RunID) []room.Action {
@@ -145,7 +147,9 @@
 func TestUnansweredStartIsStopped(t *testing.T) {
 	b := newOpenBench(t)
 	b.order(runID(0))
-	assert.DeepEqual(t, names(b.room.Started(b.now, runID(0), lavendercourse.Sight{}, lavendercourse.ReplyOther, errLost)), []string{"start 0"})
+	for range 3 {
+		assert.DeepEqual(t, names(b.room.Started(b.now, runID(0), lavendercourse.Sight{}, lavendercourse.ReplyOther, errLost)), []string{"start 0"})
+	}
 	assert.DeepEqual(t, names(b.room.Started(b.now, runID(0), lavendercourse.Sight{}, lavendercourse.ReplyOther, errLost)), []string{"stop 0"})
 	assert.Assert(t, b.room.Owes(entryName))
 	b.room.Stopped(b.now, runID(0), lavendercourse.Sight{}, lavendercourse.ReplyOther, errLost)
@@ -177,6 +181,7 @@
 	}
 	for range 4 {
 		b.now += 200
+		b.percent += 10
 		b.renew(lavendercourse.ReplyAccepted, runID(0), runID(1))
 		assert.Equal(t, len(b.room.Tick(b.now)), 0)
 	}
@@ -225,3 +230,42 @@
 	b.beat(firstLife, true)
 	assert.DeepEqual(t, names(b.order(runID(0))), []string{"refused 0"})
 }
+
+// Guards against runs that stay on a worker that stands still or is slow, and against a worker that is taken for slow
+// because one estimate was too low.
+func TestRunsLeaveASlowWorker(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		runs  int
+		step  int
+		moved bool
+	}{
+		{"worker stands still", 4, 0, true},
+		{"worker is five times slower", 4, 2, true},
+		{"worker is as fast as estimated", 4, 10, false},
+		{"one job was estimated too low", 1, 3, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newOpenBench(t)
+			var ids []lavendercourse.RunID
+			for i := range c.runs {
+				id := runID(i)
+				id.Job += strconv.Itoa(i)
+				ids = append(ids, id)
+			}
+			b.order(ids...)
+			for _, id := range ids {
+				b.room.Started(b.now, id, b.sight(), lavendercourse.ReplyAccepted, nil)
+			}
+			stopped := 0
+			for range 3 {
+				b.now += 200
+				b.percent += c.step
+				b.room.Keep(entryName, b.now)
+				stopped += len(b.renew(lavendercourse.ReplyAccepted, ids...))
+			}
+			assert.Equal(t, stopped > 0, c.moved)
+			assert.Equal(t, b.room.Report(b.now).Slow, c.moved)
+		})
+	}
+}
--- a/room/run.go
+++ b/room/run.go
@@ -35,9 +35,11 @@
 	began   clock.Millis
 	started clock.Millis
 	starts  int
-	// percent is the progress last seen, moved the time at which it last changed.
-	percent int
-	moved   clock.Millis
+	// percent is the progress last seen, observed the time of that look.
+	percent  int
+	observed clock.Millis
+	// moved is the time at which the progress last changed.
+	moved clock.Millis
 	// kind and cause tell why the run is being stopped.
 	kind  lavendercourse.EndKind
 	cause string
@@ -48,6 +50,11 @@
 	silent bool
 }
 
+// stalled tells whether the run has made no progress for so long that its worker stands still.
+func (n *run) stalled(now clock.Millis) bool {
+	return n.state == stateRunning && n.estimate > 0 && now-n.moved >= max(n.estimate*stalledPercent/100, stalledLeast)
+}
+
 // sample is an ended run, for the failure rate and the pace.
 type sample struct {
 	at     clock.Millis
@@ -87,3 +94,55 @@
 	}
 	return failed, ended
 }
+
+// pace measures how fast runs go, in percent of what their estimates say.
+type pace struct {
+	jobs map[string]*progress
+	// percent is the last measure; 0 means that there is none.
+	percent int
+}
+
+// progress is what the runs of one job did since the last measure: the time they were watched, and the part of their
+// estimates that they got done, both in ms.
+type progress struct {
+	elapsed clock.Millis
+	done    float64
+}
+
+// observe adds what a run did between two looks.
+func (p *pace) observe(n *run, now clock.Millis, percent int) {
+	if n.estimate <= 0 || now <= n.observed {
+		return
+	}
+	if p.jobs == nil {
+		p.jobs = map[string]*progress{}
+	}
+	j := p.jobs[n.id.Job]
+	if j == nil {
+		j = &progress{}
+		p.jobs[n.id.Job] = j
+	}
+	j.elapsed += now - n.observed
+	j.done += float64(percent-n.percent) / 100 * float64(n.estimate)
+	p.measure()
+}
+
+func (p *pace) measure() {
+	jobs, fastest := 0, 0.0
+	for _, j := range p.jobs {
+		if j.elapsed >= paceSpan {
+			jobs++
+			fastest = max(fastest, j.done/float64(j.elapsed))
+		}
+	}
+	// One job at its usual pace is enough to tell that a worker is no longer slow.
+	recovered := jobs > 0 && p.slow() && 100*fastest >= slowPercent
+	if jobs < paceJobs && !recovered {
+		return
+	}
+	p.percent = max(int(100*fastest), 1)
+	clear(p.jobs)
+}
+
+// slow tells whether runs go much slower than their estimates say.
+func (p *pace) slow() bool { return p.percent > 0 && p.percent < slowPercent }
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/rotisserie/eris"
+
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/event"
@@ -63,6 +65,7 @@
 		r.mu.Unlock()
 		lists, reply, err := r.cfg.Worker.Renew(ctx, worker, renewal)
 		if err != nil {
+			r.unanswered(err)
 			r.sleep(probePause)
 			continue
 		}
@@ -82,6 +85,20 @@
 	return ctx.Err()
 }
 
+// unanswered takes note of a renewal without an answer.
+func (r *Runner) unanswered(err error) {
+	if !eris.Is(err, lavendercourse.ErrWorkerDown) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock.Now()
+	if r.room.Token() > 0 {
+		r.log.On(event.WorkerGone).Int("running", r.room.Running()).Err(err).Send()
+	}
+	r.perform(now, r.room.Down(now))
+}
+
 func (r *Runner) watchWorker(now clock.Millis) {
 	silent := !r.room.Heard(now, silentAfter)
 	if silent == r.silent {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -131,9 +131,9 @@
 }
 
 const (
-	// DefaultWorkerTimeout bounds a call to the worker of the same VM. Three calls without an answer fit into the lease
-	// of the worker.
-	DefaultWorkerTimeout = 120 * clock.Millis(1)
+	// DefaultWorkerTimeout bounds a call to the worker of the same VM, which answers within a few ms. A call without an
+	// answer is repeated.
+	DefaultWorkerTimeout = 60 * clock.Millis(1)
 	// DefaultStoreTimeout leaves time for a store whose answers take fifty times the usual 4 ms.
 	DefaultStoreTimeout = 1500 * clock.Millis(1)
 )
--- a/taskworker.go
+++ b/taskworker.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/lavendercourse/lavendercourse/clock"
 )
 
@@ -132,6 +134,9 @@
 	return replyNames[r]
 }
 
+// ErrWorkerDown is returned when nothing listens at the address of a worker: its process has ended.
+var ErrWorkerDown = eris.New("worker is not running")
+
 // TaskWorker is a worker that runs tasks under leases. An error means that the answer did not arrive: the call may
 // have been carried out, or may still be.
 type TaskWorker interface {
