Offer freed room to one waiting gateway at a time

Cause: each runner told all gateways that waited of every end, 40 times a second, and got an answer to each: with 76 runners and 14 gateways most of the traffic between failure domains, and most orders that followed were refused.

--- a/runner/link.go
+++ b/runner/link.go
@@ -177,15 +177,22 @@
 	}
 }
 
-// offer tells gateways that wait for room of runs of others that have ended.
+// offer tells one of the gateways that wait for room what is free, if runs have ended since the last offer. Telling all
+// of them would cost messages by their square, and all but one of their orders would be refused.
 func (r *Runner) offer(now clock.Millis) {
 	if !r.changed {
 		return
 	}
 	r.changed = false
+	var next *entryLink
 	for _, e := range r.entries {
-		if e.enrolled && e.wants && now-e.offered >= offerPeriod {
-			r.report(now, e)
+		if e.enrolled && e.wants && now-e.offered >= offerPeriod && (next == nil || e.offered < next.offered) {
+			next = e
 		}
 	}
+	if next == nil {
+		return
+	}
+	next.offered = now
+	_ = next.link.Send(message.TypeEnded, 0, message.Ended{Report: r.loadFor(now, next)})
 }
