Refuse a job at once that can be expected to find no room

A job that waits behind more work than gets done before its caller gives up was held until then and refused. It is refused at its arrival now, or as soon as it can no longer be in time, with the time after which the backlog will be done.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -13,6 +13,7 @@
 const (
 	causeFull       = "entry has too many jobs"
 	causeImpossible = "no worker of the service can run the job"
+	causeRoom       = "no room before the time of the job runs out"
 	causeTime       = "job cannot end before its caller gives up"
 	causeAttempts   = "a task failed as often as its queue allows"
 	causeStopping   = "entry is stopping"
@@ -124,7 +125,12 @@
 	}
 	t.jobs[j.key] = j
 	t.waiting = append(t.waiting, j)
-	return j, lavendercourse.JobAnswer{}, t.pumpSoon(now)
+	actions := t.pumpSoon(now)
+	if !j.mayHaveRun() && t.hopeless(now, j, t.workAhead(now, j)) {
+		t.drop(j)
+		return nil, refusal(causeRoom, t.backlogTime()), actions
+	}
+	return j, lavendercourse.JobAnswer{}, actions
 }
 
 func refusal(cause string, retry clock.Millis) lavendercourse.JobAnswer {
@@ -358,10 +364,18 @@
 			t.void(r)
 		}
 	}
+	work := int64(0)
 	for _, j := range append([]*Job(nil), t.waiting...) {
-		if !j.mayHaveRun() && j.limit > 0 && now+j.chain > j.limit {
-			actions = t.finish(actions, now, j, refusal(causeTime, RefusalRetry))
+		switch {
+		case j.mayHaveRun():
+		case j.limit > 0 && now+j.chain > j.limit:
+			actions = t.finish(actions, now, j, refusal(causeTime, t.backlogTime()))
+			continue
+		case !j.inTime(now) && t.hopeless(now, j, work):
+			actions = t.finish(actions, now, j, refusal(causeRoom, t.backlogTime()))
+			continue
 		}
+		work += j.work()
 	}
 	return append(actions, t.Pump(now)...)
 }
