Do not give up the runs of a worker's new life when its heartbeat comes late

A worker that had ended and started again answered a renewal before it sent its first heartbeat. The runner took the heartbeat for another new life, told the entries that its runs had ended, and they were ordered elsewhere while they went on. It also gave runs to the new life by the capacity of the old one. Ruled out: late starts; the worker refuses them by their lease. Test: TestHeartbeatAfterTheFirstAnswerOfANewLife, which failed first.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -31,9 +31,13 @@
 	if err != nil {
 		return nil, err
 	}
+	advertise := s.Gateway.Advertise
+	if advertise == "" {
+		advertise = s.Gateway.Links
+	}
 	return gateway.New(gateway.Config{
 		Name: s.Gateway.Name, Domain: s.Place.Domain, Callers: listeners[0], Ready: listeners[1], Links: listeners[2],
-		Metrics: listeners[3], Advertise: s.Gateway.Links, Seeds: s.Gateway.Seeds,
+		Metrics: listeners[3], Advertise: advertise, Seeds: s.Gateway.Seeds,
 		Store:   platform.NewStore(platform.StoreConfig{Address: s.Store.Address, Timeout: s.Store.Timeout}),
 		Control: platform.ControlStream, Entries: platform.EntryStream, Decode: platform.DecodeControl, Serve: platform.NewJobs,
 		Queue: queue.Config{MaxJobs: s.Gateway.Jobs}, Clock: clock.NewBoot(), Logger: logger, Budget: s.Log.Budget,
--- a/room/room.go
+++ b/room/room.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// Worker returns what the worker last reported, or false if it has not yet.
-func (r *Room) Worker() (lavendercourse.WorkerReport, bool) { return r.worker, r.known }
+// Worker returns what the worker last reported, or false if it has not yet reported in its present life.
+func (r *Room) Worker() (lavendercourse.WorkerReport, bool) { return r.worker, r.described() }
 
 // Token returns the fencing token in use, or 0.
 func (r *Room) Token() int64 { return r.token }
@@ -88,7 +88,7 @@
 
 // Open tells whether new runs are taken.
 func (r *Room) Open(now clock.Millis) bool {
-	return r.known && !r.draining && !r.leaving && r.surveyed && len(r.foreign) == 0 && now-r.heard < silentAfter
+	return r.described() && !r.draining && !r.leaving && r.surveyed && len(r.foreign) == 0 && now-r.heard < silentAfter
 }
 
 // Free returns what the worker has left.
@@ -108,28 +108,24 @@
 
 // Beat takes a heartbeat of the worker. It returns whether what entries know of the worker has changed.
 func (r *Room) Beat(now clock.Millis, w lavendercourse.WorkerReport) ([]Action, bool) {
-	if r.known && w.ID == r.worker.ID && (w.Born < r.worker.Born || (w.Born == r.worker.Born && w.Sequence <= r.worker.Sequence)) {
+	if w.Born < max(r.born, r.worker.Born) || (w.ID == r.worker.ID && w.Born == r.worker.Born && w.Sequence <= r.worker.Sequence) {
 		// A report that was delayed on its way.
 		return nil, false
 	}
-	if r.known && w.ID != r.worker.ID && w.Born < r.worker.Born {
-		return nil, false
-	}
 	var actions []Action
-	changed := !r.known || w.ID != r.worker.ID || w.Born != r.worker.Born || w.Capacity != r.worker.Capacity
-	if r.known && (w.ID != r.worker.ID || w.Born != r.worker.Born) {
+	if r.born != 0 && w.Born > r.born {
 		actions = r.endLife(now)
 	}
-	if r.born != 0 && w.Born != 0 && w.Born > r.born {
-		actions = append(actions, r.endLife(now)...)
-	}
+	changed := !r.described() || w.ID != r.worker.ID || w.Capacity != r.worker.Capacity
 	r.worker, r.known, r.draining = w, true, w.Draining
-	if w.Born != 0 {
-		r.born = w.Born
-	}
+	r.born = w.Born
 	return actions, changed
 }
 
+// described tells whether the last heartbeat is of the life that the worker answers with. Another life may have another
+// capacity, even at the same address.
+func (r *Room) described() bool { return r.known && (r.born == 0 || r.worker.Born == r.born) }
+
 // Deregister takes note that the worker ends now.
 func (r *Room) Deregister(worker string) {
 	if r.known && worker == r.worker.ID {
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -32,12 +32,13 @@
 	now  clock.Millis
 	ends int64
 	seq  int64
-	// percent is the progress that the worker lists for its runs.
+	// percent is the progress that the worker lists for its runs, born the life that it answers with.
 	percent int
+	born    int64
 }
 
 func newBench(t *testing.T) *bench {
-	return &bench{T: t, room: room.New(room.Config{}), now: 10 * clock.Second}
+	return &bench{T: t, room: room.New(room.Config{}), now: 10 * clock.Second, born: firstLife}
 }
 
 // newOpenBench returns a bench whose worker takes runs.
@@ -51,7 +52,7 @@
 }
 
 func (b *bench) sight() lavendercourse.Sight {
-	return lavendercourse.Sight{Clock: b.now + 100*clock.Second, Born: firstLife}
+	return lavendercourse.Sight{Clock: b.now + 100*clock.Second, Born: b.born}
 }
 
 func (b *bench) beat(born int64, draining bool) []room.Action {
@@ -269,3 +270,24 @@
 		})
 	}
 }
+
+// Guards against runs that are given up because the heartbeat of a new life comes after the worker's first answer in it
+// (seed 3 of the soak: the runs went on and were ordered elsewhere), and against runs in a new life before its capacity
+// is known, which may differ.
+func TestHeartbeatAfterTheFirstAnswerOfANewLife(t *testing.T) {
+	b := newOpenBench(t)
+	b.order(runID(0))
+	b.room.Started(b.now, runID(0), b.sight(), lavendercourse.ReplyAccepted, nil)
+	assert.DeepEqual(t, names(b.room.Down(b.now)), []string{"lost 0"})
+	b.born = firstLife + 5
+	b.renew(lavendercourse.ReplyAccepted)
+	b.renew(lavendercourse.ReplyAccepted)
+	assert.DeepEqual(t, names(b.order(runID(1))), []string{"refused 1"})
+	assert.DeepEqual(t, names(b.beat(firstLife, false)), []string{})
+	assert.DeepEqual(t, names(b.order(runID(1))), []string{"refused 1"})
+	b.seq = 0
+	assert.DeepEqual(t, names(b.beat(firstLife+5, false)), []string{})
+	assert.DeepEqual(t, names(b.order(runID(1))), []string{"start 1"})
+	assert.DeepEqual(t, names(b.beat(firstLife+5, false)), []string{})
+	assert.Assert(t, b.room.Owes(entryName))
+}
--- a/settings/field.go
+++ b/settings/field.go
@@ -68,6 +68,7 @@
 		{"gateway", "callers", address{&g.Callers}, "", "host and port for callers", gateway},
 		{"gateway", "ready", address{&g.Ready}, "", "host and port that tell the balancer whether callers may be sent here", gateway},
 		{"gateway", "links", address{&g.Links}, "", "host and port for links of runners and other gateways", gateway},
+		{"gateway", "advertise", address{&g.Advertise}, "", "host and port at which others reach links; empty means links", nil},
 		{"gateway", "metrics", address{&g.Metrics}, "", "host and port that serve /metrics; empty means none", nil},
 		{"gateway", "seeds", addresses{&g.Seeds}, "", "links of gateways, separated by commas, used until the store has told more", nil},
 		{"gateway", "jobs", number{&g.Jobs, 1, 1_000_000}, "", "jobs that may be unfinished at once; more are refused", nil},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -71,6 +71,8 @@
 	Callers string
 	Ready   string
 	Links   string
+	// Advertise is where others reach Links; empty means there.
+	Advertise string
 	// Metrics is the address that serves metrics, or empty.
 	Metrics string
 	Seeds   []string
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -22,7 +22,7 @@
 // Run runs the program with the given arguments and returns its exit code.
 func Run(args []string) int {
 	root := &cobra.Command{Use: "standin", Short: "Stand-ins for the platform and the backend server", SilenceUsage: true}
-	root.AddCommand(newPlatform(), newWorker(), newBench())
+	root.AddCommand(newPlatform(), newWorker(), newBench(), newSoak())
 	root.SetArgs(args)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- /dev/null
+++ b/standin/command/soak.go
@@ -0,0 +1,52 @@
+package command
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lavendercourse/lavendercourse/standin/soak"
+)
+
+func newSoak() *cobra.Command {
+	cfg := soak.Config{}
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Run gateways and runners as processes, inject faults, and check the promises",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if cfg.Dir == "" {
+				dir, err := os.MkdirTemp("", "soak")
+				if err != nil {
+					return err
+				}
+				cfg.Dir = dir
+			}
+			cfg.Out = cmd.OutOrStdout()
+			r, err := soak.Run(cmd.Context(), cfg)
+			if err != nil {
+				return fmt.Errorf("seed %d, logs in %s: %w", cfg.Seed, cfg.Dir, err)
+			}
+			_, _ = fmt.Fprintf(cfg.Out, "seed %d: %d faults; %d jobs: %d completed, %d failed, %d refused, %d without an answer; logs in %s\n",
+				cfg.Seed, r.Faults, r.Jobs, r.Completed, r.Failed, r.Refused, r.Unknown, cfg.Dir)
+			for _, text := range r.Broken {
+				_, _ = fmt.Fprintln(cfg.Out, "BROKEN: "+text)
+			}
+			if len(r.Broken) > 0 {
+				return fmt.Errorf("seed %d broke %d promises", cfg.Seed, len(r.Broken))
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&cfg.Program, "program", "target/lavendercourse", "path of the program under test")
+	f.StringVar(&cfg.Dir, "dir", "", "folder for settings and logs; empty means a new one")
+	f.Uint64Var(&cfg.Seed, "seed", 1, "seed of the faults and the load")
+	f.DurationVar(&cfg.Span, "span", 20*time.Second, "time for which faults are injected")
+	f.IntVar(&cfg.Gateways, "gateways", 3, "gateways")
+	f.IntVar(&cfg.Runners, "runners", 6, "runners")
+	f.IntVar(&cfg.Callers, "callers", 20, "callers, each with one job at a time")
+	return cmd
+}
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -83,12 +83,13 @@
 	mu      sync.Mutex
 	running map[string]string
 	broken  []string
-	Done    map[string]int
+	done    map[string]int
+	started map[string]bool
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{running: map[string]string{}, Done: map[string]int{}}
+	return &Ledger{running: map[string]string{}, done: map[string]int{}, started: map[string]bool{}}
 }
 
 // Broken returns what broke a promise.
@@ -105,6 +106,22 @@
 		l.broken = append(l.broken, fmt.Sprintf("task %s runs on %s and %s at once", task, other, worker))
 	}
 	l.running[task] = worker
+	job, _, _ := strings.Cut(task, ".")
+	l.started[job] = true
+}
+
+// Started tells whether a task of the job has begun.
+func (l *Ledger) Started(job string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.started[job]
+}
+
+// DoneOf returns the number of runs of a task that ended well.
+func (l *Ledger) DoneOf(task string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.done[task]
 }
 
 func (l *Ledger) end(task, how string) {
@@ -112,11 +129,12 @@
 	defer l.mu.Unlock()
 	delete(l.running, task)
 	if how == "done" {
-		l.Done[task]++
+		l.done[task]++
 	}
 }
 
-func (l *Ledger) fault(format string, args ...any) {
+// Fault adds what broke a promise.
+func (l *Ledger) Fault(format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.broken = append(l.broken, fmt.Sprintf(format, args...))
@@ -305,6 +323,12 @@
 }
 
 func (w *Worker) start(c workerCall) string {
+	select {
+	case <-w.done:
+		// A call that was on its way when the worker ended.
+		return "fence"
+	default:
+	}
 	switch {
 	case w.fenced(c):
 		return "fence"
@@ -323,7 +347,7 @@
 		used += other.cpu
 	}
 	if used > defaultCPU {
-		w.ledger.fault("worker %s has %d of %d thousandths of a core in use with task %s", w.cfg.ID, used, defaultCPU, c.Task)
+		w.ledger.Fault("worker %s has %d of %d thousandths of a core in use with task %s", w.cfg.ID, used, defaultCPU, c.Task)
 	}
 	now := time.Now()
 	w.ledger.begin(c.Task, w.cfg.ID)
--- /dev/null
+++ b/standin/soak/callers.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// resendPause is the time after a broken connection or a 502 after which a caller submits its job again.
+	resendPause = 1300 * time.Millisecond
+	// callerTimeout is how long a caller waits for an answer.
+	callerTimeout = 6 * time.Second
+	// maxTries bounds how often a caller submits a job.
+	maxTries = 3
+	// callerPause is the longest pause of a caller between two jobs.
+	callerPause = 80 * time.Millisecond
+)
+
+// callers submit jobs and check the answers against the ledger of the workers.
+type callers struct {
+	site *site
+
+	mu     sync.Mutex
+	next   int
+	result Report
+}
+
+func newCallers(s *site) *callers { return &callers{site: s} }
+
+func (c *callers) broke(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.Broken = append(c.result.Broken, fmt.Sprintf(format, args...))
+}
+
+func (c *callers) report() Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.result
+}
+
+// job is one job with the number of its tasks.
+type job struct {
+	id    string
+	tasks int
+	body  string
+}
+
+func (c *callers) newJob(rng *rand.Rand) job {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	c.result.Jobs++
+	j := job{id: fmt.Sprintf("%016x", c.next), tasks: 1 + rng.IntN(8)}
+	ms := []int{60, 200, 900}[rng.IntN(3)]
+	j.body = fmt.Sprintf(`{"spec":"3100 %d","bestEffort":true,"steps":[{"count":%d,"cpu":3100,"memMb":64,"estimateMs":%d}]}`, ms, j.tasks, ms)
+	return j
+}
+
+// call submits jobs until the load ends. Connections are kept until they break.
+func (c *callers) call(ctx context.Context, number int) {
+	rng := rand.New(rand.NewPCG(c.site.cfg.Seed, uint64(100+number)))
+	client := &http.Client{Transport: &http.Transport{}, Timeout: callerTimeout}
+	defer client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		c.submit(client, rng, c.newJob(rng))
+		time.Sleep(time.Duration(rng.Int64N(int64(callerPause))))
+	}
+}
+
+// submit submits a job until it is answered, and checks the answer.
+func (c *callers) submit(client *http.Client, rng *rand.Rand, j job) {
+	refused := true
+	for range maxTries {
+		status, state, err := c.send(client, rng.IntN(len(c.site.callers)), j)
+		switch {
+		case err == nil && status == http.StatusOK:
+			c.answered(j, state)
+			return
+		case err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
+			if refused && c.site.ledger.Started(j.id) {
+				c.broke("job %s was refused as not run, and a task of it has started", j.id)
+			}
+			c.count(func(r *Report) { r.Refused++ })
+			return
+		case err == nil && status != http.StatusBadGateway && status != http.StatusGatewayTimeout:
+			c.broke("job %s was answered with status %d", j.id, status)
+			return
+		}
+		refused = false
+		time.Sleep(resendPause)
+	}
+	c.count(func(r *Report) { r.Unknown++ })
+}
+
+func (c *callers) answered(j job, state string) {
+	if state != "completed" {
+		c.count(func(r *Report) { r.Failed++ })
+		return
+	}
+	c.count(func(r *Report) { r.Completed++ })
+	for i := range j.tasks {
+		if c.site.ledger.DoneOf(fmt.Sprintf("%s.0.0.%d", j.id, i)) == 0 {
+			c.broke("job %s is complete, and its task %d has not ended well", j.id, i)
+		}
+	}
+}
+
+func (c *callers) count(add func(r *Report)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	add(&c.result)
+}
+
+func (c *callers) send(client *http.Client, gateway int, j job) (int, string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.site.callers[gateway].Address()+prefix+j.id, bytes.NewBufferString(j.body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = host
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct {
+		State string `json:"state"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return 0, "", err
+	}
+	return resp.StatusCode, answer.State, nil
+}
+
+// served tells whether every gateway serves a job within the given time.
+func (c *callers) served(ctx context.Context, limit time.Duration) bool {
+	rng := rand.New(rand.NewPCG(c.site.cfg.Seed, 2))
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callerTimeout}
+	until := time.Now().Add(limit)
+	for g := range c.site.callers {
+		for {
+			status, state, err := c.send(client, g, c.newJob(rng))
+			if err == nil && status == http.StatusOK && state == "completed" {
+				break
+			}
+			if time.Now().After(until) || ctx.Err() != nil {
+				return false
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/standin/soak/site.go
@@ -0,0 +1,240 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lavendercourse/lavendercourse/platform"
+	"github.com/lavendercourse/lavendercourse/standin/fleet"
+)
+
+const (
+	service = "press"
+	host    = "shop.example"
+	prefix  = "/proofs/"
+	domains = 2
+)
+
+// process is one real program.
+type process struct {
+	name string
+	args []string
+	log  string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// gone is closed when the process has ended.
+	gone chan struct{}
+}
+
+// start runs the program. Its output is appended to its log.
+func (p *process) start() error {
+	out, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = exec.Command(p.args[0], p.args[1:]...)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	cmd, gone := p.cmd, make(chan struct{})
+	p.gone = gone
+	go func() {
+		// How it ended is in its log.
+		_ = cmd.Wait()
+		close(gone)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that this soak started, if it has not ended.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.gone:
+	default:
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// await waits until the process has ended, and kills it after the given time.
+func (p *process) await(limit time.Duration) {
+	p.mu.Lock()
+	gone := p.gone
+	p.mu.Unlock()
+	select {
+	case <-gone:
+	case <-time.After(limit):
+		p.signal(syscall.SIGKILL)
+		<-gone
+	}
+}
+
+// workerSite is a stand-in worker at a fixed address, which may end and start again.
+type workerSite struct {
+	cfg     fleet.WorkerConfig
+	address string
+
+	mu     sync.Mutex
+	worker *fleet.Worker
+	server *http.Server
+}
+
+func (w *workerSite) start(l *fleet.Ledger) error {
+	listener, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.address = listener.Addr().String()
+	w.worker = fleet.NewWorker(w.cfg, l)
+	w.server = &http.Server{Handler: w.worker.Handler()}
+	server := w.server
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+func (w *workerSite) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.server.Close()
+	w.worker.Close()
+}
+
+func (w *workerSite) set(f fleet.WorkerFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.worker.SetFaults(f)
+}
+
+// site is everything that a soak runs.
+type site struct {
+	cfg      Config
+	store    *fleet.Store
+	ledger   *fleet.Ledger
+	gateways []*process
+	runners  []*process
+	workers  []*workerSite
+	callers  []*Proxy
+	links    []*Proxy
+	version  int
+	servers  []*http.Server
+}
+
+func newSite(cfg Config) (*site, error) {
+	s := &site{cfg: cfg, store: fleet.NewStore(), ledger: fleet.NewLedger(), version: 1}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: s.store.Handler()}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	s.publish()
+	ports, err := freePorts(3*cfg.Gateways + cfg.Runners)
+	if err != nil {
+		return nil, err
+	}
+	var seeds []string
+	for i := range cfg.Gateways {
+		callers, err := NewProxy(ports[3*i])
+		if err != nil {
+			return nil, err
+		}
+		links, err := NewProxy(ports[3*i+1])
+		if err != nil {
+			return nil, err
+		}
+		s.callers, s.links = append(s.callers, callers), append(s.links, links)
+		seeds = append(seeds, links.Address())
+	}
+	for i := range cfg.Gateways {
+		name := fmt.Sprintf("g%d", i)
+		err := s.add(&s.gateways, name, "gateway", fmt.Sprintf(
+			"[place]\nregion = here\ndomain = d%d\n[gateway]\nname = %s\ncallers = %s\nready = %s\nlinks = %s\nadvertise = %s\nseeds = %s\n[store]\naddress = %s\n",
+			i%domains, name, ports[3*i], ports[3*i+2], ports[3*i+1], seeds[i], strings.Join(seeds, ","), l.Addr()))
+		if err != nil {
+			return nil, err
+		}
+	}
+	for i := range cfg.Runners {
+		name, reports := fmt.Sprintf("r%d", i), ports[3*cfg.Gateways+i]
+		w := &workerSite{address: "127.0.0.1:0", cfg: fleet.WorkerConfig{
+			ID: "w-" + name, Service: service, Domain: fmt.Sprintf("d%d", i%domains), Reports: reports, Need: fleet.PayloadNeed,
+		}}
+		if err := w.start(s.ledger); err != nil {
+			return nil, err
+		}
+		s.workers = append(s.workers, w)
+		err := s.add(&s.runners, name, "runner", fmt.Sprintf(
+			"[place]\nregion = here\ndomain = d%d\n[runner]\nname = %s\nworker = %s\nreports = %s\nseeds = %s\n[store]\naddress = %s\n",
+			i%domains, name, w.address, reports, strings.Join(seeds, ","), l.Addr()))
+		if err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *site) add(to *[]*process, name, role, settings string) error {
+	file := filepath.Join(s.cfg.Dir, name+".ini")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	p := &process{name: name, args: []string{s.cfg.Program, role, "--settings", file}, log: filepath.Join(s.cfg.Dir, name+".log")}
+	*to = append(*to, p)
+	return p.start()
+}
+
+// publish writes the next version of the configuration.
+func (s *site) publish() {
+	s.version++
+	s.store.Put(platform.ControlStream, "config", fmt.Sprintf(`{"version":%d,"routes":[{"name":"q","host":%q,"pathPrefix":%q,
+		"service":%q,"maxAttempts":3,"slackFactor":1.6,"targetLatencyMs":60}]}`, s.version, host, prefix, service))
+}
+
+// stop ends everything that the soak started.
+func (s *site) stop() {
+	for _, p := range append(append([]*process(nil), s.gateways...), s.runners...) {
+		p.signal(syscall.SIGKILL)
+		p.await(time.Second)
+	}
+	for _, w := range s.workers {
+		w.stop()
+	}
+	for _, p := range append(append([]*Proxy(nil), s.callers...), s.links...) {
+		p.Close()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+// freePorts returns addresses on loopback that nothing listens at.
+func freePorts(n int) ([]string, error) {
+	var all []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		// All stay open until the last one is chosen, so that none is chosen twice.
+		defer func() { _ = l.Close() }()
+		all = append(all, l.Addr().String())
+	}
+	return all, nil
+}
--- /dev/null
+++ b/standin/soak/soak.go
@@ -0,0 +1,189 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lavendercourse/lavendercourse/platform"
+	"github.com/lavendercourse/lavendercourse/standin/fleet"
+)
+
+const (
+	// graceLimit is the time after the signal to stop after which a process is killed, as the platform does.
+	graceLimit = 6 * time.Second
+	// startLimit bounds the wait for the first job that is served.
+	startLimit = 30 * time.Second
+	// recoverLimit is the time after the last fault within which jobs must be served again.
+	recoverLimit = 12 * time.Second
+	// longestFault bounds each fault.
+	longestFault = 3 * time.Second
+)
+
+// Config holds the settings of a soak.
+type Config struct {
+	// Program is the path of the program under test, Dir a folder for settings and logs.
+	Program string
+	Dir     string
+	Seed    uint64
+	// Span is the time for which faults are injected.
+	Span     time.Duration
+	Gateways int
+	Runners  int
+	Callers  int
+	Out      io.Writer
+}
+
+// Report is the result of a soak.
+type Report struct {
+	Faults    int
+	Jobs      int
+	Completed int
+	Failed    int
+	Refused   int
+	Unknown   int
+	// Broken lists the promises that were broken.
+	Broken []string
+}
+
+// Run runs a soak and returns what it found.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	s, err := newSite(cfg)
+	if err != nil {
+		return Report{}, err
+	}
+	defer s.stop()
+	c := newCallers(s)
+	if !c.served(ctx, startLimit) {
+		return Report{}, fmt.Errorf("no job was served within %s of the start", startLimit)
+	}
+	load, end := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for i := range cfg.Callers {
+		wg.Go(func() { c.call(load, i) })
+	}
+	faults := s.injectAll(ctx)
+	end()
+	wg.Wait()
+	if !c.served(ctx, recoverLimit) {
+		c.broke("no job was served within %s of the last fault", recoverLimit)
+	}
+	r := c.report()
+	r.Faults = faults
+	r.Broken = append(r.Broken, s.ledger.Broken()...)
+	return r, nil
+}
+
+// injectAll injects faults, several at a time, until the time is over, and returns their number.
+func (s *site) injectAll(ctx context.Context) int {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, 1))
+	began := time.Now()
+	var wg sync.WaitGroup
+	n := 0
+	for time.Since(began) < s.cfg.Span && ctx.Err() == nil {
+		fault := s.draw(rng)
+		for range 1 + rng.IntN(2) {
+			n++
+			_, _ = fmt.Fprintf(s.cfg.Out, "%7.2f s  %s\n", time.Since(began).Seconds(), fault.name)
+			wg.Go(fault.play)
+		}
+		time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
+	}
+	wg.Wait()
+	return n
+}
+
+type fault struct {
+	name string
+	play func()
+}
+
+// draw chooses a fault. All random choices are made here, so that a seed names the whole series.
+func (s *site) draw(rng *rand.Rand) fault {
+	span := time.Duration(rng.Int64N(int64(longestFault)))
+	p := append(append([]*process(nil), s.gateways...), s.runners...)[rng.IntN(len(s.gateways)+len(s.runners))]
+	proxy := append(append([]*Proxy(nil), s.callers...), s.links...)[rng.IntN(len(s.callers)+len(s.links))]
+	w := s.workers[rng.IntN(len(s.workers))]
+	domain := fmt.Sprintf("evacuate/d%d", rng.IntN(domains))
+	broken := Fault(1 + rng.IntN(3))
+	storeFault := []fleet.StoreFaults{{Down: true}, {Silent: true}, {Delay: 200 * time.Millisecond}, {Lose: true}}[rng.IntN(4)]
+	workerFault := []fleet.WorkerFaults{{Fail: true}, {Hang: true}, {Late: 4}, {Draining: true}}[rng.IntN(4)]
+	switch rng.IntN(10) {
+	case 0:
+		return fault{"kill " + p.name, func() { s.restart(p, syscall.SIGKILL, span/4) }}
+	case 1:
+		return fault{"stop " + p.name, func() { s.restart(p, syscall.SIGTERM, span/4) }}
+	case 2, 3:
+		return fault{fmt.Sprintf("pause %s for %s", p.name, span), func() {
+			p.signal(syscall.SIGSTOP)
+			time.Sleep(span)
+			p.signal(syscall.SIGCONT)
+		}}
+	case 4:
+		return fault{"reset connections", proxy.Reset}
+	case 5:
+		return fault{fmt.Sprintf("break connections (%d) for %s", broken, span), func() {
+			proxy.Set(broken)
+			time.Sleep(span)
+			proxy.Set(Pass)
+		}}
+	case 6:
+		return fault{fmt.Sprintf("store %+v for %s", storeFault, span), func() {
+			s.store.SetFaults(storeFault)
+			time.Sleep(span)
+			s.store.SetFaults(fleet.StoreFaults{})
+		}}
+	case 7:
+		return fault{fmt.Sprintf("worker %s %+v for %s", w.cfg.ID, workerFault, span), func() {
+			w.set(workerFault)
+			time.Sleep(span)
+			w.set(fleet.WorkerFaults{})
+		}}
+	case 8:
+		return fault{"worker " + w.cfg.ID + " ends and starts again", func() { s.reborn(w, span) }}
+	default:
+		return fault{"publish and " + domain, func() { s.drain(domain, span) }}
+	}
+}
+
+func (s *site) restart(p *process, sig syscall.Signal, pause time.Duration) {
+	p.signal(sig)
+	// A paused process cannot handle the signal.
+	p.signal(syscall.SIGCONT)
+	p.await(graceLimit)
+	time.Sleep(pause)
+	p.mu.Lock()
+	gone := p.gone
+	p.mu.Unlock()
+	select {
+	case <-gone:
+		if err := p.start(); err != nil {
+			s.ledger.Fault("%s cannot be started again: %v", p.name, err)
+		}
+	default:
+		// Another fault has started it meanwhile.
+	}
+}
+
+func (s *site) reborn(w *workerSite, span time.Duration) {
+	w.stop()
+	time.Sleep(span / 2)
+	// The port may still be in use for a moment, or another fault has started the worker meanwhile.
+	for range 20 {
+		if w.start(s.ledger) == nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (s *site) drain(domain string, span time.Duration) {
+	s.publish()
+	s.store.Put(platform.ControlStream, domain, "{}")
+	time.Sleep(span)
+	s.store.Put(platform.ControlStream, domain, "")
+}
