Let single runs on a slow worker show whether it has recovered

A run is moved now only if it goes slowly itself, and a measure takes four jobs watched for 60 ms each instead of three with 250 ms in sum. Test: TestSlowWorkerRecovers, which failed first.

--- a/room/config.go
+++ b/room/config.go
@@ -40,10 +40,11 @@
 	watchWait = 40 * clock.Millis(1)
 	// overduePercent of its estimate is the time after which a run takes longer than expected.
 	overduePercent = 130
-	// paceSpan is the sum of run times in ms that one measure of the pace needs, paceJobs the number of jobs in it. The
-	// estimates of a job are often off by a half, and all its tasks share the error.
-	paceSpan = 250 * clock.Millis(1)
-	paceJobs = 3
+	// paceJobs is the number of jobs that a measure of the pace needs, and paceSpan the time in ms for which each must
+	// have been watched. The fastest of them counts: estimates of single jobs are often too low by half or more, while a
+	// slow worker slows all of them.
+	paceJobs = 4
+	paceSpan = 60 * clock.Millis(1)
 	// stalledPercent of its estimate without progress makes a run count as standing still, which is several steps of the
 	// progress even where the estimate is three times too low. stalledLeast is the least such time in ms.
 	stalledPercent = 16
--- a/room/room.go
+++ b/room/room.go
@@ -465,7 +465,7 @@
 		switch {
 		case n.stalled(now):
 			actions = r.stop(actions, now, n, lavendercourse.EndSlow, causeStalled)
-		case r.pace.slow() && n.state == stateRunning && n.estimate > 0 && r.left(n) > n.estimate+moveOverhead:
+		case r.pace.slow() && n.slow(now) && r.left(n) > n.estimate+moveOverhead:
 			actions = r.stop(actions, now, n, lavendercourse.EndSlow, causeSlow)
 		}
 	}
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -305,3 +305,35 @@
 	b.renew(lavendercourse.ReplyAccepted)
 	assert.Assert(t, !b.room.Owes(entryName))
 }
+
+// Guards against a worker that is never used again after it was slow: the single runs by which entries try it must go on
+// until they show how fast it is now.
+func TestSlowWorkerRecovers(t *testing.T) {
+	b := newOpenBench(t)
+	var ids []lavendercourse.RunID
+	for i := range 4 {
+		ids = append(ids, lavendercourse.RunID{Job: "j" + strconv.Itoa(i), Run: 1})
+	}
+	b.order(ids...)
+	for _, id := range ids {
+		b.room.Started(b.now, id, b.sight(), lavendercourse.ReplyAccepted, nil)
+	}
+	for range 2 {
+		b.now += 200
+		b.room.Keep(entryName, b.now)
+		b.renew(lavendercourse.ReplyAccepted, ids...)
+	}
+	assert.Assert(t, b.room.Report(b.now).Slow)
+	for _, id := range ids {
+		b.end(id, lavendercourse.EndStopped)
+	}
+	trial := lavendercourse.RunID{Job: "trial", Run: 1}
+	assert.DeepEqual(t, names(b.order(trial)), []string{"start 0"})
+	b.room.Started(b.now, trial, b.sight(), lavendercourse.ReplyAccepted, nil)
+	for range 3 {
+		b.now += 40
+		b.percent += 2
+		assert.DeepEqual(t, names(b.renew(lavendercourse.ReplyAccepted, trial)), []string{})
+	}
+	assert.Assert(t, !b.room.Report(b.now).Slow)
+}
--- a/room/run.go
+++ b/room/run.go
@@ -55,6 +55,14 @@
 	return n.state == stateRunning && n.estimate > 0 && now-n.moved >= max(n.estimate*stalledPercent/100, stalledLeast)
 }
 
+// slow tells whether the run itself goes slowly. A run that was just started on a slow worker says nothing yet, and may
+// show that the worker has recovered.
+func (n *run) slow(now clock.Millis) bool {
+	watched := now - n.started
+	return n.state == stateRunning && n.estimate > 0 && watched >= paceSpan &&
+		n.estimate*clock.Millis(n.percent) < watched*slowPercent
+}
+
 // sample is an ended run, for the failure rate and the pace.
 type sample struct {
 	at     clock.Millis
