--- a/command/daemon.go
+++ b/command/daemon.go
@@ -61,8 +61,8 @@
 // change of any other key is logged as one that needs a restart.
 func (c *common) watchSettings(ctx context.Context, role settings.Role, s settings.Settings, logger zerolog.Logger) {
 	hup := make(chan os.Signal, 1)
+	// The signal stays caught while the daemon stops; by default it would end the process.
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	t := time.NewTicker(reloadPeriod)
 	defer t.Stop()
 	text := s.String()
