--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,49 @@
+package roster_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/roster"
+)
+
+// Guards against two dials of one gateway at a time, by its seed and by its name, and against dials of itself.
+func TestDue(t *testing.T) {
+	r := roster.New(roster.Config{Name: "g1", Address: "a1", Seeds: []string{"a1", "a2"}})
+	now := 10 * clock.Second
+	assert.DeepEqual(t, r.Due(now), []string{"a2"})
+	r.Learn([]message.Peer{{Name: "g1", Address: "a1"}, {Name: "g2", Address: "a2"}, {Name: "g3", Address: "a3"}})
+	assert.DeepEqual(t, r.Due(now+500), []string{"a3"})
+	r.Dialed(now+500, "a2")
+	assert.Equal(t, len(r.Due(now+550)), 0)
+	assert.DeepEqual(t, r.Due(now+600), []string{"a2"})
+	assert.Assert(t, r.Linked("g2"))
+	assert.Assert(t, !r.Linked("g2"))
+	r.Dialed(now+600, "a2")
+	assert.Equal(t, len(r.Due(now+2000)), 0)
+	r.Unlinked("g2")
+	assert.DeepEqual(t, r.Due(now+2100), []string{"a2"})
+}
+
+// Guards against links that grow with the fleet, and against a place that is kept for a gateway that is gone for good.
+func TestLinksAreBounded(t *testing.T) {
+	r := roster.New(roster.Config{Name: "r1", Links: 2})
+	r.Learn([]message.Peer{{Name: "g1", Address: "a1"}, {Name: "g2", Address: "a2"}, {Name: "g3", Address: "a3"}})
+	now := 10 * clock.Second
+	first := r.Due(now)
+	assert.Equal(t, len(first), 2)
+	seen := map[string]bool{}
+	for range 40 {
+		for _, a := range first {
+			r.Dialed(now, a)
+		}
+		now += 200
+		for _, a := range r.Due(now) {
+			seen[a] = true
+		}
+	}
+	assert.Equal(t, len(seen), 3)
+}
