--- a/gateway/config.go
+++ b/gateway/config.go
@@ -51,8 +51,6 @@
 	stopLimit = 5400 * clock.Millis(1)
 	// answerTime is the time for the last answers to reach their callers.
 	answerTime = 200 * clock.Millis(1)
-	// headerTimeout bounds the time in which a caller must send the headers of a request.
-	headerTimeout = 3 * clock.Second
 	// idleTimeout closes a connection of a caller without requests.
 	idleTimeout = 15 * clock.Second
 )
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -5,9 +5,11 @@
 	"slices"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/daemon"
 	"github.com/lavendercourse/lavendercourse/event"
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/roster"
 )
 
 // Sources of records, as they stand in logs.
@@ -26,7 +28,7 @@
 			if !failing {
 				g.log.On(event.LogUnavailable).Str("stream", g.cfg.Control).Err(err).Send()
 			}
-			g.sleep(ctx, followPause)
+			daemon.Sleep(ctx, followPause)
 		}
 		if err == nil && failing {
 			g.log.On(event.LogAvailable).Str("stream", g.cfg.Control).Send()
@@ -163,10 +165,10 @@
 		if c, err := g.cfg.Store.Contents(ctx, g.cfg.Entries); err == nil && announced {
 			wait = rosterPeriod
 			g.mu.Lock()
-			g.roster.Learn(peersOf(c))
+			g.roster.Learn(roster.Peers(c))
 			g.mu.Unlock()
 		}
-		g.sleep(ctx, wait)
+		daemon.Sleep(ctx, wait)
 	}
 	return ctx.Err()
 }
@@ -174,14 +176,3 @@
 func contents(r message.Records) lavendercourse.Contents {
 	return lavendercourse.Contents{Settings: r.Settings, End: r.End}
 }
-
-// peersOf reads the stream of the gateways' addresses: the name is the key and the address the value.
-func peersOf(c lavendercourse.Contents) []message.Peer {
-	peers := make([]message.Peer, 0, len(c.Settings))
-	for _, s := range c.Settings {
-		if len(s.Value) > 0 {
-			peers = append(peers, message.Peer{Name: s.Key, Address: string(s.Value)})
-		}
-	}
-	return peers
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
@@ -14,6 +12,7 @@
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/daemon"
 	"github.com/lavendercourse/lavendercourse/event"
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/queue"
@@ -83,17 +82,17 @@
 		event.Restart.On(cfg.Logger).Str("cause", ev.String()).Send()
 	}})
 	g.callers = g.server(g.turnAway(cfg.Serve(desk{g})))
-	s.Add(service{name: "callers", run: serving(g.callers, cfg.Callers)})
-	s.Add(service{name: "ready", run: serving(g.server(g.readiness()), cfg.Ready)})
-	s.Add(service{name: "links", run: serving(g.server(g.links()), cfg.Links)})
+	s.Add(daemon.NewListener("callers", g.callers, cfg.Callers))
+	s.Add(daemon.NewListener("ready", g.server(g.readiness()), cfg.Ready))
+	s.Add(daemon.NewListener("links", g.server(g.links()), cfg.Links))
 	if cfg.Metrics != nil {
-		s.Add(service{name: "metrics", run: serving(g.server(g.metrics()), cfg.Metrics)})
+		s.Add(daemon.NewListener("metrics", g.server(g.metrics()), cfg.Metrics))
 	}
-	s.Add(service{name: "follow", run: g.follow})
-	s.Add(service{name: "announce", run: g.announce})
-	s.Add(service{name: "tick", run: every(tickPeriod, g.tick)})
-	s.Add(service{name: "dial", run: every(dialPeriod, g.dial)})
-	s.Add(service{name: "digest", run: every(digestPeriod, g.digest)})
+	s.Add(daemon.NewService("follow", g.follow))
+	s.Add(daemon.NewService("announce", g.announce))
+	s.Add(daemon.NewPeriodic("tick", tickPeriod, g.tick))
+	s.Add(daemon.NewPeriodic("dial", dialPeriod, g.dial))
+	s.Add(daemon.NewPeriodic("digest", digestPeriod, g.digest))
 	ended := s.ServeBackground(ctx)
 	go func() {
 		<-ended
@@ -112,12 +111,12 @@
 	g.stopping, g.closing = true, true
 	g.setReady()
 	g.mu.Unlock()
-	g.sleep(ctx, turnAway)
+	daemon.Sleep(ctx, turnAway)
 	g.mu.Lock()
 	g.table.Stop()
 	g.mu.Unlock()
 	for g.busy() > 0 && ctx.Err() == nil && g.cfg.Clock.Now()-began < stopLimit {
-		g.sleep(ctx, tickPeriod)
+		daemon.Sleep(ctx, tickPeriod)
 	}
 	var err error
 	if n := g.busy(); n > 0 {
@@ -160,13 +159,6 @@
 	return g.table.Jobs()
 }
 
-func (g *Gateway) sleep(ctx context.Context, span clock.Millis) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(span.Duration()):
-	}
-}
-
 // turnAway asks callers to open a new connection while the gateway stops, so that their next request goes elsewhere.
 func (g *Gateway) turnAway(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -204,7 +196,7 @@
 }
 
 func (g *Gateway) server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration()}
+	return daemon.NewServer(h, idleTimeout)
 }
 
 // tick gives up what has run out of time.
@@ -223,42 +215,3 @@
 		g.log.On(event.ReadyChanged).Bool("ready", ready).Int64("version", g.routes.Version()).Int("runners", g.table.Linked()).Send()
 	}
 }
-
-type service struct {
-	name string
-	run  func(ctx context.Context) error
-}
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
-
-// String names the service in events.
-func (s service) String() string { return s.name }
-
-func serving(s *http.Server, l net.Listener) func(ctx context.Context) error {
-	return func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-		defer stop()
-		err := s.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			<-ctx.Done()
-			return suture.ErrDoNotRestart
-		}
-		return err
-	}
-}
-
-func every(period clock.Millis, do func()) func(ctx context.Context) error {
-	return func(ctx context.Context) error {
-		t := time.NewTicker(period.Duration())
-		defer t.Stop()
-		for {
-			do()
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-t.C:
-			}
-		}
-	}
-}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -289,7 +289,7 @@
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"submit": func(t *rapid.T) {
+			"submit": func(*rapid.T) {
 				jobs++
 				d.submit(fmt.Sprintf("j%d", jobs), 2, 100, 1000)
 				check()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sort"
 
+	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/placement"
@@ -20,6 +21,17 @@
 	firstDials = 20
 )
 
+// Peers reads the stream of the entries' addresses: the name is the key and the address the value.
+func Peers(c lavendercourse.Contents) []message.Peer {
+	peers := make([]message.Peer, 0, len(c.Settings))
+	for _, s := range c.Settings {
+		if len(s.Value) > 0 {
+			peers = append(peers, message.Peer{Name: s.Key, Address: string(s.Value)})
+		}
+	}
+	return peers
+}
+
 // Config says who asks.
 type Config struct {
 	// Name is that of this process. It ranks the entries, so that links spread evenly.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -12,18 +10,14 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
-	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/daemon"
 	"github.com/lavendercourse/lavendercourse/event"
 	"github.com/lavendercourse/lavendercourse/link"
-	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/room"
 	"github.com/lavendercourse/lavendercourse/roster"
 	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
-// headerTimeout bounds the time in which the worker must send the headers of a call.
-const headerTimeout = 3 * clock.Second
-
 // Runner is one running runner.
 type Runner struct {
 	cfg      Config
@@ -68,16 +62,16 @@
 	}})
 	reports := mux.NewRouter()
 	cfg.Register(reports, sink{r})
-	s.Add(service{name: "reports", run: serving(reports, cfg.Reports)})
+	s.Add(daemon.NewListener("reports", daemon.NewServer(reports, 0), cfg.Reports))
 	if cfg.Metrics != nil {
 		m := mux.NewRouter()
 		m.Handle(telemetry.MetricsPath, r.measures.metrics)
-		s.Add(service{name: "metrics", run: serving(m, cfg.Metrics)})
+		s.Add(daemon.NewListener("metrics", daemon.NewServer(m, 0), cfg.Metrics))
 	}
-	s.Add(service{name: "renew", run: r.renew})
-	s.Add(service{name: "lookup", run: r.lookup})
-	s.Add(service{name: "tick", run: every(tickPeriod, r.tick)})
-	s.Add(service{name: "dial", run: every(dialPeriod, r.dial)})
+	s.Add(daemon.NewService("renew", r.renew))
+	s.Add(daemon.NewService("lookup", r.lookup))
+	s.Add(daemon.NewPeriodic("tick", tickPeriod, r.tick))
+	s.Add(daemon.NewPeriodic("dial", dialPeriod, r.dial))
 	ended := s.ServeBackground(ctx)
 	go func() {
 		<-ended
@@ -150,7 +144,7 @@
 // lookup reads the list of gateways from the store while there is no link.
 func (r *Runner) lookup(ctx context.Context) error {
 	for ctx.Err() == nil {
-		r.sleep(lookupPeriod)
+		daemon.Sleep(ctx, lookupPeriod)
 		r.mu.Lock()
 		alone := len(r.entries) == 0
 		r.mu.Unlock()
@@ -162,60 +156,9 @@
 			r.log.On(event.LogUnavailable).Str("stream", r.cfg.Entries).Err(err).Send()
 			continue
 		}
-		peers := make([]message.Peer, 0, len(c.Settings))
-		for _, s := range c.Settings {
-			peers = append(peers, message.Peer{Name: s.Key, Address: string(s.Value)})
-		}
 		r.mu.Lock()
-		r.roster.Learn(peers)
+		r.roster.Learn(roster.Peers(c))
 		r.mu.Unlock()
 	}
 	return ctx.Err()
 }
-
-func (r *Runner) sleep(span clock.Millis) {
-	select {
-	case <-r.ctx.Done():
-	case <-time.After(span.Duration()):
-	}
-}
-
-type service struct {
-	name string
-	run  func(ctx context.Context) error
-}
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
-
-// String names the service in events.
-func (s service) String() string { return s.name }
-
-func serving(h http.Handler, l net.Listener) func(ctx context.Context) error {
-	return func(ctx context.Context) error {
-		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout.Duration()}
-		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-		defer stop()
-		err := s.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			<-ctx.Done()
-			return suture.ErrDoNotRestart
-		}
-		return err
-	}
-}
-
-func every(period clock.Millis, do func()) func(ctx context.Context) error {
-	return func(ctx context.Context) error {
-		t := time.NewTicker(period.Duration())
-		defer t.Stop()
-		for {
-			do()
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-t.C:
-			}
-		}
-	}
-}
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -7,6 +7,7 @@
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/daemon"
 	"github.com/lavendercourse/lavendercourse/event"
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/room"
@@ -66,7 +67,7 @@
 		lists, reply, err := r.cfg.Worker.Renew(ctx, worker, renewal)
 		if err != nil {
 			r.unanswered(err)
-			r.sleep(probePause)
+			daemon.Sleep(ctx, probePause)
 			continue
 		}
 		r.mu.Lock()
@@ -79,7 +80,7 @@
 		}
 		r.mu.Unlock()
 		if reply != lavendercourse.ReplyAccepted {
-			r.sleep(probePause)
+			daemon.Sleep(ctx, probePause)
 		}
 	}
 	return ctx.Err()
