--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -140,8 +140,10 @@
 	workers  []*workerSite
 	callers  []*Proxy
 	links    []*Proxy
-	version  int
 	servers  []*http.Server
+
+	mu      sync.Mutex
+	version int
 }
 
 func newSite(cfg Config) (*site, error) {
@@ -211,6 +213,8 @@
 
 // publish writes the next version of the configuration.
 func (s *site) publish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.version++
 	s.store.Put(platform.ControlStream, "config", fmt.Sprintf(`{"version":%d,"routes":[{"name":"q","host":%q,"pathPrefix":%q,
 		"service":%q,"maxAttempts":3,"slackFactor":1.6,"targetLatencyMs":60}]}`, s.version, host, prefix, service))
