Refuse a job before the backlog is looked through, so that no orders are lost

Cause: a submission that was refused on arrival came with the orders of other jobs that looking through the backlog had given, and the gateway answered without sending them. Their tasks counted as sent until their callers left. Found in the read-through. Test: TestRefusalComesWithoutOrders, which failed first.

--- a/queue/admit.go
+++ b/queue/admit.go
@@ -83,10 +83,3 @@
 	}
 	return min(max(clock.Millis(sum/rate), RefusalRetry), maxRetry)
 }
-
-// drop takes out a job of which nothing was sent, as if it had not come.
-func (t *Table) drop(j *Job) {
-	j.ended = true
-	delete(t.jobs, j.key)
-	t.unqueue(j)
-}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -62,9 +62,6 @@
 // Wants tells whether tasks wait for room.
 func (t *Table) Wants() bool { return t.wants }
 
-// Runners returns the runners in the order of their names.
-func (t *Table) Runners() []*Runner { return t.order }
-
 // Linked returns the number of runners that are linked.
 func (t *Table) Linked() int {
 	n := 0
@@ -101,7 +98,7 @@
 // Stop refuses new jobs from now on.
 func (t *Table) Stop() { t.stopping = true }
 
-// Submit takes a job, or returns the answer to a submission that is not taken. A job that is known already is joined.
+// Submit takes a job, or returns the answer to a submission that is not taken, and no actions then. A job that is known already is joined.
 func (t *Table) Submit(now clock.Millis, s lavendercourse.Submission, q route.Queue, id string) (*Job, lavendercourse.JobAnswer, []Action) {
 	if j := t.jobs[q.Host+q.Prefix+id]; j != nil {
 		j.callers++
@@ -123,14 +120,12 @@
 	if !t.possible(j) {
 		return nil, refusal(causeImpossible, 0), nil
 	}
+	if t.hopeless(now, j, t.workAhead(now, j)) {
+		return nil, refusal(causeRoom, t.backlogTime()), nil
+	}
 	t.jobs[j.key] = j
 	t.waiting = append(t.waiting, j)
-	actions := t.pumpSoon(now)
-	if !j.mayHaveRun() && t.hopeless(now, j, t.workAhead(now, j)) {
-		t.drop(j)
-		return nil, refusal(causeRoom, t.backlogTime()), actions
-	}
-	return j, lavendercourse.JobAnswer{}, actions
+	return j, lavendercourse.JobAnswer{}, t.pumpSoon(now)
 }
 
 func refusal(cause string, retry clock.Millis) lavendercourse.JobAnswer {
@@ -232,15 +227,6 @@
 	return t.pumpSoon(now)
 }
 
-// Stamp returns the newest stamp of a runner.
-func (t *Table) Stamp(name string) (clock.Millis, bool) {
-	r := t.runners[name]
-	if r == nil || !r.linked {
-		return 0, false
-	}
-	return r.report.Stamp, len(r.sent) > 0
-}
-
 // Ended takes the ends of runs.
 func (t *Table) Ended(now clock.Millis, name string, e message.Ended) []Action {
 	r := t.runners[name]
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -30,6 +30,8 @@
 	taken map[string]int
 	sent  []sentRun
 	done  map[string]lavendercourse.JobAnswer
+	// lost counts orders that came with a refusal.
+	lost int
 }
 
 type sentRun struct {
@@ -76,6 +78,10 @@
 	j, a, actions := d.table.Submit(d.now, lavendercourse.Submission{
 		Payload: "p", Patience: patience, Steps: []lavendercourse.Step{{Count: tasks, Need: need, Estimate: estimate}},
 	}, proofs, id)
+	if j == nil && len(actions) > 0 {
+		// An entry answers a submission that is not taken and does nothing else.
+		d.lost += len(actions)
+	}
 	d.perform(actions)
 	return j, a
 }
@@ -242,6 +248,7 @@
 		}
 		pending = max(pending, d.table.Waiting())
 	}
+	assert.Equal(t, d.lost, 0, "orders of other jobs are lost with a refusal")
 	// 400 jobs a second get done at best.
 	assert.Assert(t, inTime >= 400*seconds*90/100, "%d jobs in time", inTime)
 	assert.Assert(t, refused > 0)
@@ -249,6 +256,29 @@
 	assert.Assert(t, pending <= 200, "%d jobs waited", pending)
 }
 
+// Guards against orders that are lost: a refused job came with the orders of others, which an entry does not send, and
+// their tasks waited for an end until their callers left.
+func TestRefusalComesWithoutOrders(t *testing.T) {
+	d := newDesk("d1")
+	d.enroll("r1", "d1")
+	for i := range 10 {
+		d.submit(fmt.Sprintf("runs-%d", i), 1, 100, 0)
+	}
+	running := d.take()
+	assert.Equal(t, len(running), 10)
+	for i := range 17 {
+		d.submit(fmt.Sprintf("waits-%d", i), 1, 100, 0)
+	}
+	d.end(running[0], lavendercourse.EndRefused, need)
+	d.now += 30
+	j, a := d.submit("late", 1, 100, 300)
+	assert.Assert(t, j == nil)
+	assert.Equal(t, a.Result, lavendercourse.JobRefused)
+	assert.Equal(t, d.lost, 0)
+	d.perform(d.table.Tick(d.now))
+	assert.Equal(t, len(d.take()), 1, "the room goes to a job that waits")
+}
+
 // Plays any order of events against a model of what runs. Guards against two runs of a task at once, refusals of jobs
 // that have run, and complete answers with tasks missing.
 func TestAnyOrderOfEvents(t *testing.T) {
