--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -101,12 +101,12 @@
 }
 
 func (w *workerSite) start(l *fleet.Ledger) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	listener, err := net.Listen("tcp", w.address)
 	if err != nil {
 		return err
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.address = listener.Addr().String()
 	w.worker = fleet.NewWorker(w.cfg, l)
 	w.server = &http.Server{Handler: w.worker.Handler()}
