--- a/gateway/jobservice.go
+++ b/gateway/jobservice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/event"
@@ -128,12 +129,12 @@
 
 // recordCrashingTask logs and counts a task that is not started again. g.mu must be held.
 func (g *Gateway) recordCrashingTask(a queue.LogCrashingTask) {
-	runners := make([]string, 0, len(a.Crashes))
+	crashes := make([]string, 0, len(a.Crashes))
 	for _, c := range a.Crashes {
-		runners = append(runners, c.Runner)
+		crashes = append(crashes, fmt.Sprintf("%s %d age=%d runs=%d explained=%t", c.ID.Runner, c.ID.Incarnation, c.Age, c.Suspects, c.Explained))
 	}
 	g.log.On(event.TaskCrashesWorkers).Str("job", a.Job.ID()).Str("queue", a.Job.Queue().Name).Int("step", a.Step).Int("task", a.Task).
-		Strs("runners", runners).Send()
+		Strs("crashes", crashes).Send()
 	g.metrics.taskCrashesWorkers()
 }
 
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -78,6 +78,11 @@
 	explained bool
 }
 
+// ageOf returns the age of a suspect of the crash in ms.
+func (c *crash) ageOf(t Task) clock.Millis {
+	return c.suspects[slices.IndexFunc(c.suspects, func(s Suspect) bool { return s.Task == t })].Age
+}
+
 // Ledger records crashes of workers with the tasks that they ran.
 type Ledger struct {
 	// crashes holds the remembered crashes, oldest first.
@@ -162,6 +167,25 @@
 // Crashes returns the number of workers that crashed while they ran the task.
 func (l *Ledger) Crashes(t Task) int { return len(l.byTask[t]) }
 
+// Participation is the part of a task in one crash.
+type Participation struct {
+	ID CrashID
+	// Age is the time in ms since the run of the task was ordered, and Suspects the number of runs that the worker had.
+	Age      clock.Millis
+	Suspects int
+	// Explained is set if a cause is known that holds none of the other tasks responsible.
+	Explained bool
+}
+
+// Participations returns the crashes that the task took part in.
+func (l *Ledger) Participations(t Task) []Participation {
+	all := make([]Participation, 0, len(l.byTask[t]))
+	for _, c := range l.byTask[t] {
+		all = append(all, Participation{ID: c.id, Age: c.ageOf(t), Suspects: len(c.suspects), Explained: c.explained})
+	}
+	return all
+}
+
 // AtLimit reports whether the task may be started only few more times, because it took part in crashLimit crashes.
 func (l *Ledger) AtLimit(t Task) bool { return l.Crashes(t) >= crashLimit }
 
@@ -177,8 +201,7 @@
 			continue
 		}
 		crashes = append(crashes, c)
-		i := slices.IndexFunc(c.suspects, func(s Suspect) bool { return s.Task == t })
-		ages = append(ages, c.suspects[i].Age)
+		ages = append(ages, c.ageOf(t))
 	}
 	best := 0.0
 	for i, reference := range ages {
--- a/queue/config.go
+++ b/queue/config.go
@@ -129,7 +129,7 @@
 	Step int
 	Task int
 	// Crashes are the crashes that the task took part in.
-	Crashes []quarantine.CrashID
+	Crashes []quarantine.Participation
 }
 
 // ShareVerdict asks the entry to send a verdict to all other entries.
--- a/queue/crash.go
+++ b/queue/crash.go
@@ -66,8 +66,9 @@
 		}
 		return actions
 	}
+	log := LogCrashingTask{Job: t.job, Step: t.step, Task: t.index, Crashes: s.ledger.Participations(key)}
 	crashes := s.ledger.Convict(key)
-	actions = append(actions, LogCrashingTask{Job: t.job, Step: t.step, Task: t.index, Crashes: crashes}, s.containQueue(now, t.job.queue, t.job.id, crashes))
+	actions = append(actions, log, s.containQueue(now, t.job.queue, t.job.id, crashes))
 	return s.endJob(actions, now, t.job, lavendercourse.JobAnswer{Result: lavendercourse.JobFailed, Cause: causeCrashes})
 }
 
--- a/room/config.go
+++ b/room/config.go
@@ -171,6 +171,11 @@
 // It comes before the ReportEnd actions of these runs.
 type ReportCrash struct {
 	Crash message.Crash
+	// States holds the state of each run in Crash.Runs, for logs.
+	States []string
+	// Silent is the time in ms since the worker's last answer, and Draining tells whether the worker was shutting down.
+	Silent   clock.Millis
+	Draining bool
 }
 
 func (StartRun) action()    {}
--- a/room/room.go
+++ b/room/room.go
@@ -243,11 +243,17 @@
 // carried out by the next incarnation until it has listed its runs, so their runs become stateInDoubt and are not
 // reported as ended yet.
 func (t *Table) endIncarnation(now clock.Millis) []Action {
-	crash := message.Crash{Incarnation: t.latestIncarnation(), Runs: t.expired}
+	report := ReportCrash{
+		Crash: message.Crash{Incarnation: t.latestIncarnation(), Runs: t.expired}, Silent: now - t.lastAnswer, Draining: t.draining,
+	}
+	for range t.expired {
+		report.States = append(report.States, stateExpired)
+	}
 	var ends []Action
 	for _, run := range t.sortedRuns() {
 		if run.state != stateInDoubt {
-			crash.Runs = append(crash.Runs, message.CrashedRun{Run: run.id, Age: now - run.orderedAt})
+			report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: now - run.orderedAt})
+			report.States = append(report.States, run.state.String())
 		}
 		if run.startsSent > run.startsAnswered {
 			run.state, run.inDoubtSince, run.endKind, run.endCause = stateInDoubt, now, lavendercourse.EndCrashed, causeWorkerEnded
@@ -256,8 +262,8 @@
 		ends = t.endRun(ends, now, run, lavendercourse.EndCrashed, lavendercourse.ReplyAccepted, causeWorkerEnded)
 	}
 	var actions []Action
-	if len(crash.Runs) > 0 {
-		actions = append(actions, ReportCrash{Crash: crash})
+	if len(report.Crash.Runs) > 0 {
+		actions = append(actions, report)
 	}
 	actions = append(actions, ends...)
 	t.expired = nil
--- a/room/run.go
+++ b/room/run.go
@@ -19,6 +19,14 @@
 	stateInDoubt
 )
 
+var stateNames = [...]string{"starting", "running", "stopping", "doubt"}
+
+// stateExpired is the name, in logs, of the state of a run that was given up because the worker was silent.
+const stateExpired = "expired"
+
+// String returns the name of the state, as used in logs.
+func (s state) String() string { return stateNames[s] }
+
 // taskKey identifies a task regardless of its run number.
 type taskKey struct {
 	job  string
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -355,10 +355,11 @@
 func (r *Runner) recordCrash(now clock.Millis, a room.ReportCrash) {
 	r.metrics.workerCrashed()
 	runs := make([]string, 0, len(a.Crash.Runs))
-	for _, c := range a.Crash.Runs {
-		runs = append(runs, fmt.Sprintf("%s.%d.%d.%d %d", c.Run.Job, c.Run.Step, c.Run.Task, c.Run.Run, c.Age))
+	for i, c := range a.Crash.Runs {
+		runs = append(runs, fmt.Sprintf("%s.%d.%d.%d %d %s", c.Run.Job, c.Run.Step, c.Run.Task, c.Run.Run, c.Age, a.States[i]))
 	}
-	r.log.On(event.WorkerCrashed).Int64("born", a.Crash.Incarnation).Strs("runs", runs).Send()
+	r.log.On(event.WorkerCrashed).Int64("born", a.Crash.Incarnation).Int64("silent", int64(a.Silent)).Bool("draining", a.Draining).
+		Strs("runs", runs).Send()
 	r.crashes = append(r.crashes, pastCrash{at: now, crash: a.Crash})
 	if len(r.crashes) > maxCrashes {
 		r.crashes = r.crashes[1:]
