--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -62,6 +62,35 @@
 	}
 }
 
+// Guards against innocent tasks that are held responsible for crashes of workers that ran bad tasks beside them.
+func TestCompanyOfBadTasksIsNoEvidence(t *testing.T) {
+	type ages map[string]clock.Millis
+	cases := []struct {
+		name    string
+		crashes []ages
+	}{
+		{"a different bad task each time", []ages{{"a": 779, "1": 63}, {"a": 464, "2": 64}, {"a": 58, "3": 62}, {"a": 189, "4": 63}, {"a": 143, "5": 63}}},
+		{"started together twice", []ages{{"a": 90, "bad": 13}, {"a": 84, "bad": 71}}},
+		{"started again with the bad task", []ages{{"a": 65, "bad": 64}, {"a": 13, "bad": 13}, {"a": 58, "bad": 26}, {"a": 65, "bad": 64}}},
+		{"the others on the worker had no earlier crash", []ages{{"a": 26, "1": 62, "2": 90}, {"a": 29, "3": 63, "4": 5}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := quarantine.NewLedger()
+			now := clock.Millis(0)
+			for i, suspects := range c.crashes {
+				now += 200
+				var all []quarantine.Suspect
+				for job, age := range suspects {
+					all = append(all, quarantine.Suspect{Task: task(job), Age: age})
+				}
+				l.Record(now, 0, quarantine.CrashID{Runner: fmt.Sprint("r", i), Incarnation: 1}, all, workers)
+			}
+			assert.Assert(t, !l.Responsible(task("a")))
+		})
+	}
+}
+
 // Guards against a queue that is contained late while many workers crash, and one that is contained because of crashes by
 // chance.
 func TestSuspicion(t *testing.T) {
--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -91,6 +91,27 @@
 	assert.Equal(t, a.Result, lavendercourse.JobFailed, "a repeated submission gets the same answer")
 }
 
+// Guards against a job that is shown as failed although another job's task crashed its workers each time (LOST).
+func TestJobBesideBadTasksIsNotShownAsFailed(t *testing.T) {
+	h := newHarness("d1")
+	for _, name := range []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8", "r9"} {
+		h.enroll(name, "d1")
+	}
+	h.submit("innocent", 1, 900, 20*clock.Second)
+	for round := range 5 {
+		sent := h.takeOrders()
+		if len(sent) == 0 {
+			break
+		}
+		h.now += 100 * clock.Millis(round+1)
+		h.crash(sent[0].runner, sent[0].run, lavendercourse.RunID{Job: "bad" + string(rune('0'+round)), Run: 1})
+		h.endRun(sent[0], lavendercourse.EndCrashed, capacity)
+		h.perform(h.scheduler.Tick(h.now))
+	}
+	a, answered := h.answers["innocent"]
+	assert.Assert(t, !answered || a.Result != lavendercourse.JobFailed, a.Cause)
+}
+
 // Guards against a crashing task that is started without a bound because its runs end in other ways than a crash.
 func TestStartsAfterThirdCrashAreBounded(t *testing.T) {
 	h := newHarness("d1")
