Report only those ends of workers as crashes that their runs may have caused

What callers saw: jobs without a bad task answered as failed. One cause: each end of a worker's process counted as a crash of all runs that the runner knew of, also after a loss of power, a restart behind a cut or a planned replacement, and with runs that had expired meanwhile or were never started. The ends of the runs are handled as before. TestOnlyObservedCrashesCount failed before for the four ends that are no crash (with Observed set in any case).

--- a/proof/crash/runner_test.go
+++ b/proof/crash/runner_test.go
@@ -225,7 +225,9 @@
 		case room.StopRun:
 			r.stopRun(a)
 		case room.ReportCrash:
-			r.reportCrash(a.Crash)
+			if a.Observed {
+				r.reportCrash(a.Crash)
+			}
 		case room.ReportEnd:
 			ends[a.Entry] = append(ends[a.Entry], message.RunEnd{Run: a.Run, Kind: a.Kind, Reason: a.Reason, Duration: a.Duration})
 		}
--- a/room/config.go
+++ b/room/config.go
@@ -167,10 +167,13 @@
 	Cause string
 }
 
-// ReportCrash instructs the runner to report that the worker's process ended while it may have executed the given runs.
-// It comes before the ReportEnd actions of these runs.
+// ReportCrash instructs the runner to log that the worker's process ended while it may have executed the given runs. It
+// comes before the ReportEnd actions of these runs.
 type ReportCrash struct {
 	Crash message.Crash
+	// Observed is set if the worker answered until its process ended, and was not shutting down. Only then the runs may have
+	// crashed it, and entries are told. A worker that was silent may have lost its power or restarted behind a cut.
+	Observed bool
 	// States holds the state of each run in Crash.Runs, for logs.
 	States []string
 	// Silent is the time in ms since the worker's last answer, and Draining tells whether the worker was shutting down.
--- a/room/crash_test.go
+++ b/room/crash_test.go
@@ -55,3 +55,52 @@
 	h.renew(lavendercourse.ReplyAccepted)
 	assert.Equal(t, len(crashes(h.heartbeat(firstIncarnation+1, false))), 0)
 }
+
+// observed returns, for each ReportCrash action, whether entries are told of it.
+func observed(actions []room.Action) []bool {
+	var all []bool
+	for _, a := range actions {
+		if c, ok := a.(room.ReportCrash); ok {
+			all = append(all, c.Observed)
+		}
+	}
+	return all
+}
+
+// Guards against runs that count as suspects of a crash although the worker's process did not crash under them, or nobody
+// can tell: it lost its power, restarted behind a cut, or was replaced (LOST).
+func TestOnlyObservedCrashesCount(t *testing.T) {
+	cases := []struct {
+		name string
+		end  func(h *harness) []room.Action
+		want bool
+	}{
+		{"refuses connections", func(h *harness) []room.Action { return h.table.WorkerDown(h.now) }, true},
+		{"restarts at once", func(h *harness) []room.Action { return h.heartbeat(firstIncarnation+1, false) }, true},
+		{"restarts after it was silent", func(h *harness) []room.Action {
+			h.now += 600
+			return h.heartbeat(firstIncarnation+1, false)
+		}, false},
+		{"restarts after its lease", func(h *harness) []room.Action {
+			h.now += 3 * clock.Second
+			h.table.Tick(h.now)
+			return h.heartbeat(firstIncarnation+1, false)
+		}, false},
+		{"was draining", func(h *harness) []room.Action {
+			h.heartbeat(firstIncarnation, true)
+			return h.table.WorkerDown(h.now)
+		}, false},
+		{"has deregistered", func(h *harness) []room.Action {
+			h.table.HandleDeregistration(workerName)
+			return h.table.WorkerDown(h.now)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newReadyHarness(t)
+			h.order(runID(0))
+			h.renew(lavendercourse.ReplyAccepted, runID(0))
+			assert.DeepEqual(t, observed(c.end(h)), []bool{c.want})
+		})
+	}
+}
--- a/room/room.go
+++ b/room/room.go
@@ -245,6 +245,7 @@
 func (t *Table) endIncarnation(now clock.Millis) []Action {
 	report := ReportCrash{
 		Crash: message.Crash{Incarnation: t.latestIncarnation(), Runs: t.expired}, Silent: now - t.lastAnswer, Draining: t.draining,
+		Observed: t.lastAnswer > 0 && now-t.lastAnswer < silentAfter && !t.draining,
 	}
 	for range t.expired {
 		report.States = append(report.States, stateExpired)
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -350,8 +350,8 @@
 	})
 }
 
-// recordCrash counts the end of the worker's process, logs the runs that it had and reports them to all gateways. They are in one line, so that the
-// budget of log lines does not drop some of them.
+// recordCrash counts the end of the worker's process and logs the runs that it had, in one line so that the budget of log
+// lines does not drop some of them. If the runs may have crashed the worker, all gateways are told.
 func (r *Runner) recordCrash(now clock.Millis, a room.ReportCrash) {
 	r.metrics.workerCrashed()
 	runs := make([]string, 0, len(a.Crash.Runs))
@@ -359,7 +359,10 @@
 		runs = append(runs, fmt.Sprintf("%s.%d.%d.%d %d %s", c.Run.Job, c.Run.Step, c.Run.Task, c.Run.Run, c.Age, a.States[i]))
 	}
 	r.log.On(event.WorkerCrashed).Int64("born", a.Crash.Incarnation).Int64("silent", int64(a.Silent)).Bool("draining", a.Draining).
-		Strs("runs", runs).Send()
+		Bool("counted", a.Observed).Strs("runs", runs).Send()
+	if !a.Observed {
+		return
+	}
 	r.crashes = append(r.crashes, pastCrash{at: now, crash: a.Crash})
 	if len(r.crashes) > maxCrashes {
 		r.crashes = r.crashes[1:]
