Hold a task responsible only for crashes of workers that ran nothing else

What callers saw: jobs shown as failed although none of their tasks was bad, and none had failed as often as its queue allows (LOST). Cause: a verdict by association. A task was held responsible by how unlikely it is to meet such crashes by chance, while crashes by bad tasks do not come by chance: suspects and all work of a contained queue use the same few workers, and tasks that wait together start together again. After five crashes it was responsible whatever explained them. Now a task that took part in two unexplained crashes is isolated: the order asks the runner for a run that is the only one on its worker, which takes no others meanwhile. A crash counts as evidence only if the worker ran nothing but the task, for 100 ms before too, and once a worker; two are needed. An innocent task ends well and is done. A task that may not be started again and is not shown to be responsible ends its job as interrupted (518), which is what is known; five crashes stay the limit. The model of the room isolates runs too.

--- a/gateway/jobservice.go
+++ b/gateway/jobservice.go
@@ -133,9 +133,13 @@
 	for _, c := range a.Crashes {
 		crashes = append(crashes, fmt.Sprintf("%s %d age=%d runs=%d explained=%t", c.ID.Runner, c.ID.Incarnation, c.Age, c.Suspects, c.Explained))
 	}
-	g.log.On(event.TaskCrashesWorkers).Str("job", a.Job.ID()).Str("queue", a.Job.Queue().Name).Int("step", a.Step).Int("task", a.Task).
+	e := event.TaskNotStartedAgain
+	if a.Responsible {
+		e = event.TaskCrashesWorkers
+		g.metrics.taskCrashesWorkers()
+	}
+	g.log.On(e).Str("job", a.Job.ID()).Str("queue", a.Job.Queue().Name).Int("step", a.Step).Int("task", a.Task).
 		Strs("crashes", crashes).Send()
-	g.metrics.taskCrashesWorkers()
 }
 
 // shareVerdict sends a verdict to all other gateways. g.mu must be held.
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -278,11 +278,15 @@
 	first := a.Order.Runs[0]
 	g.log.On(event.RunsOrdered).Str("job", a.Order.Job).Int("step", first.Step).Int("task", first.Task).Int("run", first.Run).
 		Int("runs", len(a.Order.Runs)).Str("runner", a.Runner).Int("need", a.Order.Need.CPU).Int("free", a.Free.CPU).
-		Int64("age", int64(a.Age)).Send()
+		Int64("age", int64(a.Age)).Bool("isolated", a.Isolated).Send()
 	g.metrics.runsOrdered(len(a.Order.Runs))
 	// If the link has closed, the runs are void: their tasks are queued again when the runner reconnects or the runs
 	// expire.
-	_ = r.link.Send(message.TypeOrder, 0, a.Order)
+	orderType := message.TypeOrder
+	if a.Isolated {
+		orderType = message.TypeIsolatedOrder
+	}
+	_ = r.link.Send(orderType, 0, a.Order)
 }
 
 func (g *Gateway) sendRecall(a queue.SendRecall) {
--- a/message/frame.go
+++ b/message/frame.go
@@ -59,15 +59,18 @@
 	TypeRecords   Type = 27
 	TypeCrash     Type = 28
 	TypeVerdict   Type = 29
+	// TypeIsolatedOrder has the body of TypeOrder. It is a type of its own so that runners of earlier versions, which
+	// would not isolate the run, ignore it.
+	TypeIsolatedOrder Type = 30
 )
 
 // TypeCount is one more than the highest type number.
-const TypeCount = 30
+const TypeCount = 31
 
 var typeNames = [TypeCount]string{
 	"unknown", "hello", "welcome", "beat", "renew", "start", "done", "stop", "leave", "resume", "pulse", "ack",
 	"forward", "reply", "ask", "heard", "fetch", "state", "offer", "enroll", "report", "order", "recall", "ended", "keep",
-	"digest", "pull", "records", "crash", "verdict",
+	"digest", "pull", "records", "crash", "verdict", "isolate",
 }
 
 // String returns the name of the type, as used in metrics.
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -1,6 +1,7 @@
 // Package quarantine decides which tasks are responsible for crashes of workers. A crash makes all tasks that the worker
-// ran suspects; most of them are innocent. A task that takes part in one crash after another is responsible, and is not
-// started again. The package does no I/O and reads no clock.
+// ran suspects; most of them are innocent. A task that takes part in one crash after another is isolated: it has to be the
+// only one on its worker. A task is responsible, and not started again, only if workers crash that ran nothing else. The
+// package does no I/O and reads no clock.
 package quarantine
 
 import (
@@ -12,17 +13,20 @@
 )
 
 const (
-	// minCrashes is the number of crashes that a verdict needs. After crashLimit crashes, the starts without a verdict are
-	// counted.
+	// isolationThreshold is the number of unexplained crashes from which on a task is isolated.
+	isolationThreshold = 2
+	// minCrashes is the number of workers that must have crashed while they ran nothing but the task before it is
+	// responsible. After crashLimit crashes of any kind, the starts without a verdict are counted.
 	minCrashes = 2
 	crashLimit = 3
-	// minEvidence is the evidence from which on a task is responsible: the negative logarithm of the probability that an
-	// innocent task meets such crashes by chance. minLead is the evidence by which it must exceed that of the other suspects of
-	// its last crash.
+	// minEvidence is the evidence from which on a task is responsible: the negative logarithm of the probability that workers
+	// crash by chance while they run nothing but the task.
 	minEvidence = 13.0
-	// suspicion is the evidence from which on the queue of a task is contained, which harms less than to fail its job.
-	suspicion = 11.0
-	minLead   = 2.0
+	// minSuspicion is the evidence from which on the queue of a task is contained, which harms less than to fail its job. It
+	// counts crashes of workers that ran other tasks too, which may be responsible. minLead is the evidence by which it must
+	// exceed that of the other suspects of the last crash.
+	minSuspicion = 11.0
+	minLead      = 2.0
 	// hazardWindow, in ms, is the time over which the rate of crashes is measured. minHazard is its lower bound in crashes for
 	// each worker and ms, one in 50 s, so that the first crash after a calm time does not convict a task by itself.
 	hazardWindow = 5 * clock.Second
@@ -34,8 +38,8 @@
 	// point of its run.
 	minTolerance     = 10 * clock.Millis(1)
 	tolerancePercent = 10
-	// maxCrashes is the number of crashes from which on a task is responsible whatever else may explain them. It allows
-	// two starts after the third crash; the users' limit is three.
+	// maxCrashes is the number of crashes after which a task is not started again, whether or not it is responsible. It
+	// allows two starts after the third crash; the users' limit is three.
 	maxCrashes = 5
 	// retention is the time for which a crash is remembered, in ms. Callers repeat a submission within seconds.
 	retention = 30 * clock.Second
@@ -72,15 +76,25 @@
 	id       CrashID
 	at       clock.Millis
 	suspects []Suspect
-	// hazard is the rate of crashes at that time, for each worker and ms.
-	hazard float64
-	// explained is set once a cause is known that holds none of the other tasks responsible.
+	// workers is the number of workers at that time, and hazard the rate of crashes, for each worker and ms.
+	workers int
+	hazard  float64
+	// explained is set once another cause is known: a task that is responsible, or a common cause.
 	explained bool
+	// common is set if many workers crashed at the same time.
+	common bool
 }
 
-// ageOf returns the age of a suspect of the crash in ms.
+// isolates reports whether the worker ran nothing but one task.
+func (c *crash) isolates() bool { return len(c.suspects) == 1 && !c.common }
+
+// ageOf returns the age of a suspect of the crash in ms, or -1 if the task is none.
 func (c *crash) ageOf(t Task) clock.Millis {
-	return c.suspects[slices.IndexFunc(c.suspects, func(s Suspect) bool { return s.Task == t })].Age
+	i := slices.IndexFunc(c.suspects, func(s Suspect) bool { return s.Task == t })
+	if i < 0 {
+		return -1
+	}
+	return max(c.suspects[i].Age, 0)
 }
 
 // Ledger records crashes of workers with the tasks that they ran.
@@ -114,7 +128,7 @@
 			l.byTask[s.Task] = append(known, c)
 		}
 	}
-	c.hazard = l.hazard(at, workers)
+	c.workers, c.hazard = max(workers, 1), l.hazard(at, workers)
 	l.explainCommonCause(at, workers)
 	return true
 }
@@ -129,6 +143,22 @@
 	return l.crashes[first:last]
 }
 
+// background returns the rate, for each ms, of unexplained crashes without the task up to the given crash: of all workers, or
+// of the worker that crashed if that one crashes more often.
+func (l *Ledger) background(t Task, crashed *crash) float64 {
+	all, same := 0, 0
+	for _, c := range l.within(crashed.at, hazardWindow) {
+		if c.explained || c.ageOf(t) >= 0 {
+			continue
+		}
+		all++
+		if c.id.Runner == crashed.id.Runner {
+			same++
+		}
+	}
+	return max(float64(all)/float64(crashed.workers)/float64(hazardWindow), float64(same)/float64(hazardWindow), minHazard)
+}
+
 // hazard returns the rate of crashes for each worker and ms.
 func (l *Ledger) hazard(at clock.Millis, workers int) float64 {
 	n := len(l.within(at, hazardWindow))
@@ -142,7 +172,7 @@
 		return
 	}
 	for _, c := range crashes {
-		c.explained = true
+		c.explained, c.common = true, true
 	}
 }
 
@@ -189,11 +219,42 @@
 // AtLimit reports whether the task may be started only few more times, because it took part in crashLimit crashes.
 func (l *Ledger) AtLimit(t Task) bool { return l.Crashes(t) >= crashLimit }
 
-// evidence returns the evidence against a task, and the number of crashes that may be its fault. An innocent run meets the
-// crashes of others at any age, while a bad task crashes its workers at the same point of its run. So the first crash
-// counts by how unlikely it is that a run of that age meets one, and those at about the same age by how unlikely it is to
-// meet one just then.
-func (l *Ledger) evidence(t Task) (float64, int) {
+// Exhausted reports whether the task may not be started again, because it took part in maxCrashes crashes.
+func (l *Ledger) Exhausted(t Task) bool { return l.Crashes(t) >= maxCrashes }
+
+// NeedsIsolation reports whether the task has to be the only one on its worker, so that the next crash shows whether it is
+// responsible. Tasks that share their workers meet the crashes of a bad one among them together, again and again.
+func (l *Ledger) NeedsIsolation(t Task) bool {
+	unexplained := 0
+	for _, c := range l.byTask[t] {
+		if !c.explained {
+			unexplained++
+		}
+	}
+	return unexplained >= isolationThreshold || l.AtLimit(t)
+}
+
+// CrashedOn reports whether the worker beside the runner has crashed while it ran the task.
+func (l *Ledger) CrashedOn(t Task, runner string) bool {
+	return slices.ContainsFunc(l.byTask[t], func(c *crash) bool { return c.id.Runner == runner })
+}
+
+// WorkerCrashes returns the number of unexplained crashes of the worker beside the runner.
+func (l *Ledger) WorkerCrashes(runner string) int {
+	n := 0
+	for _, c := range l.crashes {
+		if c.id.Runner == runner && !c.explained {
+			n++
+		}
+	}
+	return n
+}
+
+// suspicion returns the evidence against a task from all crashes that it took part in. An innocent run meets the crashes of
+// others at any age, while a bad task crashes its workers at the same point of its run. So the first crash counts by how
+// unlikely it is that a run of that age meets one, and those at about the same age by how unlikely it is to meet one just
+// then.
+func (l *Ledger) suspicion(t Task) float64 {
 	var crashes []*crash
 	var ages []clock.Millis
 	for _, c := range l.byTask[t] {
@@ -206,15 +267,55 @@
 	best := 0.0
 	for i, reference := range ages {
 		sum := -logChance(crashes[i].hazard, max(reference, minExposure))
-		tolerance := max(reference*tolerancePercent/100, minTolerance)
 		for k, age := range ages {
-			if k != i && max(age-reference, reference-age) <= tolerance {
-				sum -= logChance(crashes[k].hazard, 2*tolerance)
+			if k != i && isNear(age, reference) {
+				sum -= logChance(crashes[k].hazard, 2*tolerance(reference))
 			}
 		}
 		best = max(best, sum)
 	}
-	return best, len(crashes)
+	return best
+}
+
+// tolerance returns the difference from the given age, in ms, of another age at the same point of a run.
+func tolerance(age clock.Millis) clock.Millis { return max(age*tolerancePercent/100, minTolerance) }
+
+// isNear reports whether two ages may be the same point of a run.
+func isNear(age, reference clock.Millis) bool {
+	return max(age-reference, reference-age) <= tolerance(reference)
+}
+
+// isolatedCrashes returns the crashes of workers that ran nothing but the task, the first of each worker.
+func (l *Ledger) isolatedCrashes(t Task) []*crash {
+	var all []*crash
+	for _, c := range l.byTask[t] {
+		if c.isolates() && !slices.ContainsFunc(all, func(o *crash) bool { return o.id.Runner == c.id.Runner }) {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+// evidence returns the evidence against a task from crashes of workers that ran nothing else, and their number. Each counts
+// by how unlikely it is that the worker crashes by chance during the run, or just at the age that another crash has shown.
+func (l *Ledger) evidence(t Task) (float64, int) {
+	isolated := l.isolatedCrashes(t)
+	if len(isolated) < minCrashes {
+		return 0, len(isolated)
+	}
+	best := 0.0
+	for _, reference := range l.byTask[t] {
+		age, sum := reference.ageOf(t), 0.0
+		for _, c := range isolated {
+			window := max(c.ageOf(t), minExposure)
+			if c != reference && isNear(c.ageOf(t), age) {
+				window = min(window, 2*tolerance(age))
+			}
+			sum -= logChance(l.background(t, c), window)
+		}
+		best = max(best, sum)
+	}
+	return best, len(isolated)
 }
 
 // logChance returns the logarithm of the probability of a crash within the given time in ms.
@@ -222,20 +323,16 @@
 	return math.Log(1 - math.Exp(-hazard*float64(time)))
 }
 
-// Responsible reports whether the task is held responsible for the crashes that it took part in.
+// Responsible reports whether the task is held responsible for crashes of workers.
 func (l *Ledger) Responsible(t Task) bool {
-	crashes := l.byTask[t]
-	if len(crashes) >= maxCrashes {
-		return true
-	}
 	evidence, n := l.evidence(t)
-	return n >= minCrashes && evidence >= minEvidence && l.leads(t, evidence)
+	return n >= minCrashes && evidence >= minEvidence
 }
 
 // Suspected reports whether the task is probably responsible for the crashes that it took part in, but not certainly.
 func (l *Ledger) Suspected(t Task) bool {
-	evidence, _ := l.evidence(t)
-	return evidence >= suspicion && l.leads(t, evidence)
+	evidence := l.suspicion(t)
+	return evidence >= minSuspicion && l.leads(t, evidence)
 }
 
 // leads reports whether the evidence against the task exceeds that against the other suspects of its last crash.
@@ -245,7 +342,7 @@
 		if s.Task.Job == t.Job {
 			continue
 		}
-		if other, _ := l.evidence(s.Task); other > evidence-minLead {
+		if l.suspicion(s.Task) > evidence-minLead {
 			return false
 		}
 	}
--- a/queue/config.go
+++ b/queue/config.go
@@ -58,6 +58,9 @@
 	// maxStartsAtCrashLimit is how often a task is started after it took part in as many crashes of workers as
 	// quarantine allows without a verdict, in case these starts end without one.
 	maxStartsAtCrashLimit = 2
+	// isolationDivisor bounds the number of isolated runs of the entry: one for so many runners, and at least one. Each takes
+	// a whole worker.
+	isolationDivisor = 20
 	// failingPercent is the share of failed runs from which a runner counts as failing.
 	failingPercent = 40
 )
@@ -105,6 +108,8 @@
 	// estimate is based on.
 	Free lavendercourse.Resources
 	Age  clock.Millis
+	// Isolated is set if the run has to be the only one on the worker.
+	Isolated bool
 }
 
 // SendRecall asks the entry to send a recall to a runner.
@@ -123,13 +128,15 @@
 	Silent clock.Millis
 }
 
-// LogCrashingTask asks the entry to log that a task is not started again, since it is responsible for crashes of workers.
+// LogCrashingTask asks the entry to log that a task is not started again after crashes of workers.
 type LogCrashingTask struct {
 	Job  *Job
 	Step int
 	Task int
 	// Crashes are the crashes that the task took part in.
 	Crashes []quarantine.Participation
+	// Responsible tells whether the task was shown to be responsible for them.
+	Responsible bool
 }
 
 // ShareVerdict asks the entry to send a verdict to all other entries.
--- a/queue/crash.go
+++ b/queue/crash.go
@@ -52,37 +52,44 @@
 	return false
 }
 
-// giveUpCrashingTask ends the job of a task that waits again after a run, if the task is responsible for crashes of
-// workers or was started as often as its crashes allow. If it is only suspected, its queue is contained.
+// giveUpCrashingTask ends the job of a task that waits again after a run: as failed if the task is responsible for crashes of
+// workers, and as interrupted if it was started as often as its crashes allow. If it is only suspected, its queue is
+// contained.
 func (s *Scheduler) giveUpCrashingTask(actions []Action, now clock.Millis, t *task) []Action {
 	key := t.quarantineKey()
 	if t.job.ended || t.state != taskWaiting || !t.suspect {
 		return actions
 	}
-	if !s.ledger.Responsible(key) && t.startsAtCrashLimit < maxStartsAtCrashLimit {
-		if !t.contained && s.ledger.Suspected(key) {
-			t.contained = true
-			actions = append(actions, s.containQueue(now, t.job.queue, t.job.id, nil))
-		}
+	log := LogCrashingTask{Job: t.job, Step: t.step, Task: t.index, Crashes: s.ledger.Participations(key), Responsible: s.ledger.Responsible(key)}
+	switch {
+	case log.Responsible:
+	case s.ledger.Exhausted(key) || t.startsAtCrashLimit >= maxStartsAtCrashLimit:
+		return s.endJob(append(actions, log), now, t.job, lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeExhausted})
+	case !t.contained && s.ledger.Suspected(key):
+		t.contained = true
+		return append(actions, s.containQueue(now, t.job.queue, t.job.id, nil))
+	default:
 		return actions
 	}
-	log := LogCrashingTask{Job: t.job, Step: t.step, Task: t.index, Crashes: s.ledger.Participations(key)}
 	crashes := s.ledger.Convict(key)
 	actions = append(actions, log, s.containQueue(now, t.job.queue, t.job.id, crashes))
 	return s.endJob(actions, now, t.job, lavendercourse.JobAnswer{Result: lavendercourse.JobFailed, Cause: causeCrashes})
 }
 
-// hasCrashingTask reports whether a task of a submitted job is responsible for crashes of workers, which happened while
-// another entry had the job. It also marks the suspects among its tasks.
-func (s *Scheduler) hasCrashingTask(j *Job) bool {
+// crashAnswer returns the answer to a submitted job that cannot be served because of crashes of workers, which happened
+// while another entry had the job. It also marks the suspects among its tasks.
+func (s *Scheduler) crashAnswer(j *Job) (lavendercourse.JobAnswer, bool) {
 	if s.ledger.Empty() {
-		return false
+		return lavendercourse.JobAnswer{}, false
 	}
+	exhausted := false
 	for _, t := range j.tasks {
-		t.suspect = s.ledger.Crashes(t.quarantineKey()) > 0
-		if t.suspect && s.ledger.Responsible(t.quarantineKey()) {
-			return true
+		key := t.quarantineKey()
+		t.suspect = s.ledger.Crashes(key) > 0
+		if t.suspect && s.ledger.Responsible(key) {
+			return lavendercourse.JobAnswer{Result: lavendercourse.JobFailed, Cause: causeCrashes}, true
 		}
+		exhausted = exhausted || s.ledger.Exhausted(key)
 	}
-	return false
+	return lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeExhausted}, exhausted
 }
--- /dev/null
+++ b/queue/isolate_test.go
@@ -0,0 +1,98 @@
+package queue_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/message"
+)
+
+// crashTwice submits a job whose task is on two workers that crash beside another job's task, and returns its next order.
+func crashTwice(t *testing.T, h *harness, job string) sentRun {
+	h.submit(job, 1, 60, 20*clock.Second)
+	for range 2 {
+		sent := h.takeOrders()
+		assert.Equal(t, len(sent), 1)
+		assert.Assert(t, !sent[0].isolated)
+		h.now += 60
+		h.crash(sent[0].runner, sent[0].run, lavendercourse.RunID{Job: "beside " + job, Run: 1})
+		h.endRun(sent[0], lavendercourse.EndCrashed, capacity)
+	}
+	sent := h.takeOrders()
+	assert.Equal(t, len(sent), 1)
+	return sent[0]
+}
+
+// Guards against a suspect that meets crash after crash of others, since it shares its workers, and against an innocent one
+// that is not cleared by ending well.
+func TestSuspectOfTwoCrashesIsIsolated(t *testing.T) {
+	h := newHarness("d1")
+	for _, name := range []string{"r1", "r2", "r3", "r4"} {
+		h.enroll(name, "d1")
+	}
+	alone := crashTwice(t, h, "a")
+	assert.Assert(t, alone.isolated)
+	h.submit("b", 20, 60, 20*clock.Second)
+	for _, s := range h.takeOrders() {
+		assert.Assert(t, s.runner != alone.runner, "%+v", s)
+	}
+	h.endRun(alone, lavendercourse.EndDone, capacity)
+	assert.Equal(t, h.answers["a"].Result, lavendercourse.JobCompleted)
+	h.submit("c", 20, 60, 20*clock.Second)
+	assert.Assert(t, len(h.takeOrders()) > 0)
+}
+
+// Guards against suspects that take all workers, each one for itself, while other jobs wait.
+func TestFewTasksAreIsolatedAtOnce(t *testing.T) {
+	h := newHarness("d1")
+	for _, name := range []string{"r1", "r2", "r3", "r4", "r5", "r6"} {
+		h.enroll(name, "d1")
+	}
+	first := crashTwice(t, h, "a")
+	h.submit("b", 1, 60, 20*clock.Second)
+	for range 2 {
+		sent := h.takeOrders()
+		assert.Equal(t, len(sent), 1)
+		h.now += 300
+		h.crash(sent[0].runner, sent[0].run, lavendercourse.RunID{Job: "beside b", Run: 1})
+		h.endRun(sent[0], lavendercourse.EndCrashed, capacity)
+	}
+	assert.Equal(t, len(h.takeOrders()), 0, "the first isolated run has not ended")
+	h.endRun(first, lavendercourse.EndDone, capacity)
+	sent := h.takeOrders()
+	assert.Equal(t, len(sent), 1)
+	assert.Assert(t, sent[0].isolated && sent[0].run.Job == "b")
+}
+
+// Guards against a suspect that waits for an empty worker where none ever is: a busy runner is asked to take no other runs.
+func TestSuspectIsIsolatedOnBusyWorker(t *testing.T) {
+	h := newHarness("d1")
+	for _, name := range []string{"r1", "r2"} {
+		h.enroll(name, "d1")
+	}
+	h.submit("a", 1, 60, 20*clock.Second)
+	for i := range 2 {
+		sent := h.takeOrders()
+		h.now += 60
+		h.crash(sent[0].runner, sent[0].run, lavendercourse.RunID{Job: "beside", Task: i, Run: 1})
+		if i == 1 {
+			for _, name := range []string{"r1", "r2"} {
+				h.report(name, lavendercourse.Resources{})
+			}
+		}
+		h.perform(h.scheduler.HandleEnds(h.now, sent[0].runner, message.Ended{
+			Report: h.loadReport(sent[0].runner, lavendercourse.Resources{}), Ends: []message.RunEnd{{Run: sent[0].run, Kind: lavendercourse.EndCrashed}},
+		}))
+		if i == 0 {
+			for _, name := range []string{"r1", "r2"} {
+				h.report(name, capacity)
+			}
+		}
+	}
+	sent := h.takeOrders()
+	assert.Equal(t, len(sent), 1)
+	assert.Assert(t, sent[0].isolated)
+}
--- a/queue/place.go
+++ b/queue/place.go
@@ -21,7 +21,7 @@
 	var actions []Action
 	kept := s.waiting[:0]
 	for _, j := range s.waiting {
-		if j.minCPU <= largestFreeCPU {
+		if j.minCPU <= largestFreeCPU || s.hasIsolatedTask(j) {
 			before := j.waiting
 			actions = s.placeJob(actions, now, j, available)
 			if j.waiting != before {
@@ -74,7 +74,8 @@
 		if !j.ready(step) {
 			continue
 		}
-		waiting := j.waitingTasks(step)
+		var waiting []*task
+		actions, waiting = s.placeIsolated(actions, now, j.waitingTasks(step))
 		for len(waiting) > 0 {
 			r, n := s.chooseRunner(now, j, step, waiting, available)
 			if r == nil {
@@ -88,7 +89,7 @@
 }
 
 // orderRuns assigns tasks of one step to a runner and returns the order to send.
-func (s *Scheduler) orderRuns(now clock.Millis, j *Job, step int, r *Runner, tasks []*task) Action {
+func (s *Scheduler) orderRuns(now clock.Millis, j *Job, step int, r *Runner, tasks []*task) SendOrder {
 	st := j.steps[step]
 	a := SendOrder{
 		Runner: r.Name(), Free: r.free, Age: now - r.lastHeard,
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -19,7 +19,8 @@
 	causeNoTime     = "job cannot end before its caller gives up"
 	causeAttempts   = "a task failed as often as its queue allows"
 	causeContained  = "jobs of the queue crash workers; the workers set aside for it have no room"
-	causeCrashes    = "workers that ran a task of the job crashed"
+	causeCrashes    = "a task of the job crashes the workers that run it"
+	causeExhausted  = "workers that ran a task of the job crashed, and it may not be started again"
 	causeStopping   = "entry is stopping"
 	causeCancelled  = "job was cancelled"
 	causeCallerGone = "caller is gone"
@@ -173,8 +174,7 @@
 	if !s.canRun(j) {
 		return nil, refusal(causeImpossible, 0), nil
 	}
-	if s.hasCrashingTask(j) {
-		a := lavendercourse.JobAnswer{Result: lavendercourse.JobFailed, Cause: causeCrashes}
+	if a, refused := s.crashAnswer(j); refused {
 		s.retain(now, j, a)
 		return nil, a, nil
 	}
@@ -293,7 +293,7 @@
 func (s *Scheduler) requeue(task *task, avoidLast bool) {
 	j := task.job
 	if task.runner != nil {
-		delete(task.runner.inFlight, task)
+		task.runner.remove(task)
 		if avoidLast {
 			task.avoidRunner = task.runner.Name()
 		}
@@ -353,7 +353,7 @@
 	j.hasEndedRun = j.hasEndedRun || end.Kind != lavendercourse.EndRefused
 	switch end.Kind {
 	case lavendercourse.EndDone:
-		delete(r.inFlight, task)
+		r.remove(task)
 		if j.ended {
 			return actions
 		}
--- a/queue/runner.go
+++ b/queue/runner.go
@@ -36,6 +36,8 @@
 	lastOrdered clock.Millis
 	// inFlight is the set of tasks ordered from the runner whose end is not known.
 	inFlight map[*task]bool
+	// isolated is the task in flight that has to be the only one on the worker, or nil.
+	isolated *task
 }
 
 // Name returns the name of the runner.
@@ -44,6 +46,17 @@
 // InFlight returns the number of ordered runs whose end is not known.
 func (r *Runner) InFlight() int { return len(r.inFlight) }
 
+// remove removes a task that is not in flight on the runner any more.
+func (r *Runner) remove(t *task) {
+	delete(r.inFlight, t)
+	if r.isolated == t {
+		r.isolated = nil
+	}
+}
+
+// load returns the number of runs on the worker, as far as the entry knows.
+func (r *Runner) load() int { return r.report.Running + len(r.pendingRuns) }
+
 // suspects returns the number of runs in flight whose tasks were on a worker that crashed.
 func (r *Runner) suspects() int {
 	n := 0
@@ -91,7 +104,7 @@
 // acceptsOrders tells whether the runner may get an order now. maxReportAge is in ms. A failing runner gets one run at
 // a time, at most one per probeInterval.
 func (r *Runner) acceptsOrders(now, maxReportAge clock.Millis) bool {
-	if !r.linked || !r.report.AcceptsRuns || now-r.lastHeard > maxReportAge || now < r.pausedUntil {
+	if !r.linked || r.isolated != nil || !r.report.AcceptsRuns || now-r.lastHeard > maxReportAge || now < r.pausedUntil {
 		return false
 	}
 	return !r.Failing() || (len(r.inFlight) == 0 && now-r.lastOrdered >= probeInterval)
--- a/room/config.go
+++ b/room/config.go
@@ -64,6 +64,12 @@
 	// inheritedReportTimeout, in ms, is how long a worker report taken over from a predecessor is used without a
 	// heartbeat. The worker may have reported in the meantime that it is draining, and must get no runs 2 s after that.
 	inheritedReportTimeout = clock.Second
+	// isolationDelay, in ms, is the time without other runs before an isolated run starts, and for which a run that has ended
+	// is still named in a crash.
+	isolationDelay = 100 * clock.Millis(1)
+	// maxIsolationWait, in ms, is how long an isolated run may wait for the other runs to end, during which the worker takes
+	// no new ones.
+	maxIsolationWait = 1500 * clock.Millis(1)
 	// reportAgeMargin, in ms, is the time by which the last report of a worker may be older than its heartbeats are apart. The
 	// capacity may have shrunk right after the report; the users allow 3 s and one heartbeat until starts must heed that, and
 	// a start may be carried out up to 900 ms after it was sent.
--- a/room/crash_test.go
+++ b/room/crash_test.go
@@ -104,3 +104,18 @@
 		})
 	}
 }
+
+// Guards against a crash that is put down to the only run left, although another one ended a moment before.
+func TestCrashNamesRunsThatHaveJustEnded(t *testing.T) {
+	for _, c := range []struct {
+		after clock.Millis
+		want  []lavendercourse.RunID
+	}{{50, []lavendercourse.RunID{runID(0), runID(1)}}, {150, []lavendercourse.RunID{runID(1)}}} {
+		h := newReadyHarness(t)
+		h.order(runID(0), runID(1))
+		h.renew(lavendercourse.ReplyAccepted, runID(0), runID(1))
+		h.end(runID(0), lavendercourse.EndStopped, runID(1))
+		h.now += c.after
+		assert.DeepEqual(t, crashes(h.table.WorkerDown(h.now)), [][]lavendercourse.RunID{c.want})
+	}
+}
--- a/room/room.go
+++ b/room/room.go
@@ -27,6 +27,8 @@
 	causeStalled           = "run made no progress"
 	causeSlow              = "run made too little progress"
 	causeForeign           = "run was not ordered by this runner"
+	causeIsolated          = "worker is reserved for one run"
+	causeNotIsolated       = "other runs on the worker did not end in time"
 )
 
 // Table is the table of the runs on one worker. Times are in ms by the runner's clock unless noted. It is not safe for
@@ -83,6 +85,10 @@
 	// expired holds the runs that were given up because the worker was silent, until it answers. If it answers in another
 	// incarnation, they may have ended it.
 	expired []message.CrashedRun
+	// isolated is the run that has to be the only one on the worker, or nil. While it is set, no other run is accepted.
+	isolated *trackedRun
+	// recentEnds holds the runs that have ended in the last isolationDelay, oldest first.
+	recentEnds []endedRun
 	// reconciled is set once the worker has listed its runs under the current token.
 	reconciled bool
 	// used is the sum of what all runs in the table need.
@@ -148,8 +154,14 @@
 	return now - t.reportedAt
 }
 
-// Free returns the part of the worker's capacity that is not used by runs in the table.
-func (t *Table) Free() lavendercourse.Resources { return t.worker.Capacity.Sub(t.used) }
+// Free returns the part of the worker's capacity that is not used by runs in the table, or nothing while the worker is
+// reserved for an isolated run.
+func (t *Table) Free() lavendercourse.Resources {
+	if t.isolated != nil {
+		return lavendercourse.Resources{}
+	}
+	return t.worker.Capacity.Sub(t.used)
+}
 
 // LoadReport returns the load report for entries.
 func (t *Table) LoadReport(now clock.Millis) message.Report {
@@ -251,9 +263,17 @@
 		report.States = append(report.States, stateExpired)
 	}
 	var ends []Action
+	for _, ended := range t.endsSince(now - isolationDelay) {
+		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: ended.id, Age: now - ended.sentAt})
+		report.States = append(report.States, stateEnded)
+	}
 	for _, run := range t.sortedRuns() {
+		if run.state == stateWaiting {
+			ends = t.endRun(ends, now, run, lavendercourse.EndRefused, lavendercourse.ReplyUnavailable, causeWorkerEnded)
+			continue
+		}
 		if run.state != stateInDoubt {
-			report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: now - run.orderedAt})
+			report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: now - run.firstSentAt})
 			report.States = append(report.States, run.state.String())
 		}
 		if run.startsSent > run.startsAnswered {
@@ -267,7 +287,7 @@
 		actions = append(actions, report)
 	}
 	actions = append(actions, ends...)
-	t.expired = nil
+	t.expired, t.recentEnds, t.isolated = nil, nil, nil
 	t.foreign = map[lavendercourse.RunID]bool{}
 	t.incarnation, t.token, t.lastEnd, t.workerClock, t.workerClockAt, t.grantedUntil, t.lastAnswer = 0, 0, 0, 0, 0, 0, 0
 	t.listedAt, t.hasClockOffset = 0, false
@@ -282,23 +302,29 @@
 	t.extendOwnerLease(entry, o.Stamp)
 	var actions []Action
 	for _, id := range o.Runs {
-		reason, cause := t.refusal(now, o, id)
+		reason, cause := t.refusal(now, o, id, t.Free())
 		if cause != "" {
 			actions = append(actions, ReportEnd{Entry: entry, Run: id, Kind: lavendercourse.EndRefused, Reason: reason, Cause: cause})
 			continue
 		}
-		run := &trackedRun{
-			id: id, entry: entry, payload: o.Payload, need: o.Need, estimate: o.Estimate, orderedAt: now, observedAt: now, progressedAt: now,
-		}
-		t.runs[keyOf(id)] = run
-		t.used = t.used.Add(run.need)
-		actions = append(actions, t.sendStart(now, run))
+		actions = append(actions, t.sendStart(now, t.addRun(now, entry, o, id)))
 	}
 	return actions
 }
 
-// refusal returns the reason and cause for which a run is refused, or an empty cause if it is accepted.
-func (t *Table) refusal(now clock.Millis, o message.Order, id lavendercourse.RunID) (lavendercourse.Reply, string) {
+// addRun adds an ordered run to the table.
+func (t *Table) addRun(now clock.Millis, entry string, o message.Order, id lavendercourse.RunID) *trackedRun {
+	run := &trackedRun{
+		id: id, entry: entry, payload: o.Payload, need: o.Need, estimate: o.Estimate, orderedAt: now, observedAt: now, progressedAt: now,
+	}
+	t.runs[keyOf(id)] = run
+	t.used = t.used.Add(run.need)
+	return run
+}
+
+// refusal returns the reason and cause for which a run is refused, or an empty cause if it is accepted. free is the part of
+// the capacity that the run may use.
+func (t *Table) refusal(now clock.Millis, o message.Order, id lavendercourse.RunID, free lavendercourse.Resources) (lavendercourse.Reply, string) {
 	switch {
 	case !o.Need.IsValid():
 		return lavendercourse.ReplyOther, causeInvalidOrder
@@ -308,7 +334,9 @@
 		return lavendercourse.ReplyUnavailable, causeNotAccepting
 	case t.runs[keyOf(id)] != nil:
 		return lavendercourse.ReplyOther, causeEarlierRun
-	case !o.Need.Fits(t.Free()):
+	case t.isolated != nil:
+		return lavendercourse.ReplyNoCapacity, causeIsolated
+	case !o.Need.Fits(free):
 		return lavendercourse.ReplyNoCapacity, causeNoCapacity
 	case o.MaxPerWorker > 0 && t.runsOfStep(id) >= o.MaxPerWorker:
 		return lavendercourse.ReplyNoCapacity, causeStepLimit
@@ -330,7 +358,7 @@
 func (t *Table) sendStart(now clock.Millis, run *trackedRun) Action {
 	run.startsSent++
 	if run.startsSent == 1 {
-		run.workerClockAtStart = t.workerClock
+		run.workerClockAtStart, run.firstSentAt = t.workerClock, now
 	}
 	return StartRun{Worker: t.worker.ID, Timeout: t.calls.timeout(), Order: lavendercourse.Order{
 		Run: run.id, Payload: run.payload, LeaseExpiry: t.grantLease(now), Token: t.token,
@@ -520,6 +548,9 @@
 	if run.state == stateStopping || run.state == stateInDoubt {
 		return actions
 	}
+	if run.state == stateWaiting {
+		return t.endRun(actions, now, run, lavendercourse.EndRefused, lavendercourse.ReplyOther, cause)
+	}
 	run.state, run.endKind, run.endCause = stateStopping, kind, cause
 	return append(actions, t.sendStop(now, run))
 }
@@ -754,12 +785,14 @@
 	workerLeaseExpired := t.workerLeaseExpired(now)
 	for _, run := range t.sortedRuns() {
 		switch {
+		case run.state == stateWaiting:
+			actions = t.startIsolated(actions, now)
 		case run.state == stateInDoubt:
 			if now-run.inDoubtSince >= t.cfg.inDoubtTimeout() {
 				actions = t.endRun(actions, now, run, run.endKind, lavendercourse.ReplyAccepted, run.endCause)
 			}
 		case workerLeaseExpired:
-			t.expired = append(t.expired, message.CrashedRun{Run: run.id, Age: now - run.orderedAt})
+			t.expired = append(t.expired, message.CrashedRun{Run: run.id, Age: now - run.firstSentAt})
 			actions = t.endRun(actions, now, run, lavendercourse.EndExpired, lavendercourse.ReplyAccepted, causeWorkerSilent)
 		case run.state == stateStopping && now-run.stopSentAt >= stopRetryInterval:
 			actions = append(actions, t.sendStop(now, run))
@@ -784,6 +817,12 @@
 func (t *Table) endRun(actions []Action, now clock.Millis, run *trackedRun, kind lavendercourse.EndKind, reason lavendercourse.Reply, cause string) []Action {
 	delete(t.runs, keyOf(run.id))
 	t.used = t.used.Sub(run.need)
+	if t.isolated == run {
+		t.isolated = nil
+	}
+	if run.startsSent > 0 && kind != lavendercourse.EndRefused && kind != lavendercourse.EndExpired {
+		t.recentEnds = append(t.endsSince(now-isolationDelay), endedRun{id: run.id, sentAt: run.firstSentAt, endedAt: now})
+	}
 	if kind == lavendercourse.EndDone || kind == lavendercourse.EndFailed {
 		t.history.add(sample{at: now, job: run.id.Job, failed: kind != lavendercourse.EndDone})
 	}
--- a/room/run.go
+++ b/room/run.go
@@ -17,9 +17,11 @@
 	// stateInDoubt: the incarnation of the worker has ended while a start was unanswered. The next incarnation may
 	// still carry out that start until it has listed its runs under a higher fencing token.
 	stateInDoubt
+	// stateWaiting: the run has to be the only one on the worker and waits until the others have ended. No start was sent.
+	stateWaiting
 )
 
-var stateNames = [...]string{"starting", "running", "stopping", "doubt"}
+var stateNames = [...]string{"starting", "running", "stopping", "doubt", "waiting"}
 
 // stateExpired is the name, in logs, of the state of a run that was given up because the worker was silent.
 const stateExpired = "expired"
@@ -49,6 +51,8 @@
 	estimate  clock.Millis
 	state     state
 	orderedAt clock.Millis
+	// firstSentAt is the time at which the first start was sent.
+	firstSentAt clock.Millis
 	// startedAt is the time at which the worker confirmed the start, by an answer or by listing the run.
 	startedAt clock.Millis
 	// startsSent counts the starts sent, including retries; startsAnswered those whose answer arrived.
--- a/runner/fuzz_test.go
+++ b/runner/fuzz_test.go
@@ -58,10 +58,11 @@
 func FuzzGatewayFrame(f *testing.F) {
 	run := lavendercourse.RunID{Job: "j", Run: 1}
 	for t, body := range map[message.Type]any{
-		message.TypeWelcome:   message.Welcome{Name: "g2", Peers: []message.Peer{{Name: "g2", Address: "x"}}},
-		message.TypeOrder:     message.Order{Stamp: 1, Job: "j", Need: lavendercourse.Resources{CPU: 1}, Runs: []lavendercourse.RunID{run, run}},
-		message.TypeRecall:    message.Recall{Runs: []lavendercourse.RunID{run, run}},
-		message.TypeReportAck: message.ReportAck{Stamp: 1 << 60},
+		message.TypeWelcome:       message.Welcome{Name: "g2", Peers: []message.Peer{{Name: "g2", Address: "x"}}},
+		message.TypeIsolatedOrder: message.Order{Stamp: 2, Job: "i", Need: lavendercourse.Resources{CPU: 1}, Runs: []lavendercourse.RunID{run}},
+		message.TypeOrder:         message.Order{Stamp: 1, Job: "j", Need: lavendercourse.Resources{CPU: 1}, Runs: []lavendercourse.RunID{run, run}},
+		message.TypeRecall:        message.Recall{Runs: []lavendercourse.RunID{run, run}},
+		message.TypeReportAck:     message.ReportAck{Stamp: 1 << 60},
 	} {
 		b, err := message.Encode(t, 0, body)
 		if err != nil {
--- a/runner/link.go
+++ b/runner/link.go
@@ -113,13 +113,17 @@
 func (r *Runner) gatewayFrame(g *gatewayLink, name string, f message.Frame) error {
 	now := r.cfg.Clock.Now()
 	switch f.Type {
-	case message.TypeOrder:
+	case message.TypeOrder, message.TypeIsolatedOrder:
 		var o message.Order
 		if err := f.DecodeBody(&o); err != nil {
 			return err
 		}
 		g.backlogged = o.Backlogged
 		g.runsOrdered += len(o.Runs)
+		if f.Type == message.TypeIsolatedOrder {
+			r.perform(now, r.table.HandleIsolatedOrder(now, name, o))
+			return nil
+		}
 		r.perform(now, r.table.HandleOrder(now, name, o))
 	case message.TypeRecall:
 		var c message.Recall
