Check in the soak that failed jobs have a reason

Cause: users saw jobs answered as failed although none of their tasks was bad and none had failed as often as the queue allows. The soak could not see this, because every task of a job with crashes was bad and no check looked at failed answers.

* One task of a bad job crashes its workers: before its start is answered, after 60 ms, at a random point or at the end of its run.
A worker that ends answers nothing more and resets its connections.
* Each job answered as failed must have a bad task, or one with maxAttempts failures that a worker has listed to its runner.
* Soaks with crashes have all kinds of faults, and four more: several workers crash at once, a worker restarts behind a cut, answers of a worker are lost, all gateways restart in turn.
The limit of five crashes a task moves from the ledger to the end of the soak.
It does not hold for a task if a pause, a cut, a killed gateway, a fault of a runner or an unanswered call lies between the submission of its job and its last crash.
* The check that jobs are served again submits no bad tasks.

--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -31,10 +31,8 @@
 	defaultMemory = 65536
 	// capacityGrace is the time for which a capacity that has shrunk still counts: 3 s and a heartbeat.
 	capacityGrace = 3*time.Second + heartbeatPeriod
-	// crashDelay is the time after its start at which a task crashes its worker.
-	crashDelay = 60 * time.Millisecond
-	// maxCrashes is the number of workers that one task may crash: three, and less than three starts after these.
-	maxCrashes = 5
+	// crashMark stands in the payload of a job with a bad task, before the index of the task and its crash delay in ms.
+	crashMark = " crash "
 )
 
 // WorkerConfig holds the settings of a worker.
@@ -46,13 +44,11 @@
 	ReportAddress string
 	// ParsePayload derives from the payload the CPU that a task takes, in thousandths of a core, and its run time.
 	ParsePayload func(payload string) (cpu int, run time.Duration)
-	// Crash is called if a run crashes the worker: its payload ends with CrashSuffix. It may be nil.
+	// Crash is called when a bad task has crashed the worker, to close its connections and its port. If it is nil, no task
+	// crashes the worker.
 	Crash func()
 }
 
-// CrashSuffix ends the payload of tasks that crash the worker that starts them.
-const CrashSuffix = " crash"
-
 // WorkerFaults selects the faults that a worker injects.
 type WorkerFaults struct {
 	// Fail ends every run as failed.
@@ -67,6 +63,10 @@
 	Draining bool
 	// NoHeartbeats suppresses heartbeats.
 	NoHeartbeats bool
+	// Silent drops all calls and suppresses heartbeats, as a cut of the network does.
+	Silent bool
+	// LostAnswers is the share of all calls that are executed at once but get no answer.
+	LostAnswers float64
 }
 
 type workerRun struct {
@@ -79,6 +79,9 @@
 	progress time.Duration
 	// updated is the time at which progress was last updated.
 	updated time.Time
+	// crashAt is the progress at which the run crashes its worker, if bad is set.
+	crashAt time.Duration
+	bad     bool
 }
 
 type pastCPU struct {
@@ -104,8 +107,10 @@
 	ended [][]any
 	// lastEnded is the sequence number of the newest element of ended.
 	lastEnded int
-	starts    int
-	faults    WorkerFaults
+	// lastListed is the sequence number of the newest end that has been listed to the runner.
+	lastListed int
+	starts     int
+	faults     WorkerFaults
 	// cpu is the capacity in thousandths of a core, pastCPU the earlier capacities with the times at which they ended.
 	cpu       int
 	pastCPU   []pastCPU
@@ -114,94 +119,6 @@
 	ledger    *Ledger
 }
 
-// Ledger records the runs of all workers and the guarantees that were violated.
-type Ledger struct {
-	mu sync.Mutex
-	// running holds the worker that runs a task, by task.
-	running    map[string]string
-	violations []string
-	// done counts the successful runs, by task.
-	done map[string]int
-	// started holds the jobs of which a task has started.
-	started map[string]bool
-	// crashes counts the workers that each task has crashed.
-	crashes map[string]int
-}
-
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
-	return &Ledger{running: map[string]string{}, done: map[string]int{}, started: map[string]bool{}, crashes: map[string]int{}}
-}
-
-// Violations returns a description of each violated guarantee.
-func (l *Ledger) Violations() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return append([]string(nil), l.violations...)
-}
-
-func (l *Ledger) begin(task, worker string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if other := l.running[task]; other != "" {
-		l.violations = append(l.violations, fmt.Sprintf("task %s runs on %s and %s at the same time", task, other, worker))
-	}
-	l.running[task] = worker
-	job, _, _ := strings.Cut(task, ".")
-	l.started[job] = true
-}
-
-// Started reports whether a task of the job has started.
-func (l *Ledger) Started(job string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.started[job]
-}
-
-// recordCrash counts a crash of a worker by a task.
-func (l *Ledger) recordCrash(task string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.crashes[task]++
-	if l.crashes[task] == maxCrashes+1 {
-		l.violations = append(l.violations, fmt.Sprintf("task %s has crashed more than %d workers", task, maxCrashes))
-	}
-}
-
-// Crashes returns the number of workers that tasks have crashed.
-func (l *Ledger) Crashes() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for _, crashes := range l.crashes {
-		n += crashes
-	}
-	return n
-}
-
-// SuccessfulRuns returns the number of successful runs of a task.
-func (l *Ledger) SuccessfulRuns(task string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.done[task]
-}
-
-func (l *Ledger) end(task, result string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.running, task)
-	if result == "done" {
-		l.done[task]++
-	}
-}
-
-// AddViolation records a violated guarantee.
-func (l *Ledger) AddViolation(format string, args ...any) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.violations = append(l.violations, fmt.Sprintf(format, args...))
-}
-
 // NewWorker starts a worker, which sends heartbeats until Close is called.
 func NewWorker(cfg WorkerConfig, ledger *Ledger) *Worker {
 	now := time.Now()
@@ -235,16 +152,38 @@
 	}()
 }
 
-// Close stops the worker and ends all its runs as crashed.
+// Close stops the worker and ends all its runs as crashed. Calls get no answer from then on.
 func (w *Worker) Close() {
-	w.closeOnce.Do(func() { close(w.done) })
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.close()
+}
+
+// close does the work of Close. The caller holds w.mu.
+func (w *Worker) close() {
+	w.closeOnce.Do(func() { close(w.done) })
 	for _, r := range w.running {
 		w.endRun(r, "crashed")
 	}
 }
 
+func (w *Worker) closed() bool {
+	select {
+	case <-w.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// crash ends the worker because of a run. The caller holds w.mu.
+func (w *Worker) crash(r *workerRun) {
+	w.ledger.recordCrash(r.task)
+	w.close()
+	// Crash stops the worker, for which it needs w.mu.
+	go w.cfg.Crash()
+}
+
 // SetFaults replaces the faults that the worker injects.
 func (w *Worker) SetFaults(f WorkerFaults) {
 	w.mu.Lock()
@@ -281,7 +220,7 @@
 
 func (w *Worker) sendHeartbeat(sequence int) {
 	w.mu.Lock()
-	if w.faults.NoHeartbeats {
+	if w.faults.NoHeartbeats || w.faults.Silent {
 		w.mu.Unlock()
 		return
 	}
@@ -316,6 +255,9 @@
 		switch {
 		case now.Sub(w.began) > w.leaseEnd:
 			w.endRun(r, "lapsed")
+		case r.bad && r.progress >= r.crashAt:
+			w.crash(r)
+			return
 		case r.progress >= r.length && w.faults.Fail:
 			w.endRun(r, "failed")
 		case r.progress >= r.length:
@@ -337,30 +279,59 @@
 	r.HandleFunc("/run-start", w.serveStart).Methods(http.MethodPost)
 	r.HandleFunc("/run-stop", w.serveStop).Methods(http.MethodPost)
 	r.HandleFunc("/hold", w.serveHold).Methods(http.MethodPost)
-	return w.withUnanswered(r)
+	return w.withFaults(r)
 }
 
-// withUnanswered leaves the share WorkerFaults.Unanswered of the calls without an answer and executes them later.
-func (w *Worker) withUnanswered(next http.Handler) http.Handler {
+// withFaults leaves calls without an answer: all of them while the worker is silent or once its process has ended, and
+// otherwise the shares in WorkerFaults, of which those in Unanswered are executed later.
+func (w *Worker) withFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		w.mu.Lock()
-		share := w.faults.Unanswered
-		w.mu.Unlock()
-		if rand.Float64() >= share {
-			next.ServeHTTP(rw, r)
-			return
-		}
+		// The server notices the end of a connection, which ends the context, only once the body has been read.
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
-		late := r.Clone(context.WithoutCancel(r.Context()))
-		late.Body = io.NopCloser(bytes.NewReader(body))
-		time.AfterFunc(minLateDelay+rand.N(maxLateDelay-minLateDelay), func() { next.ServeHTTP(discardWriter{}, late) })
-		<-r.Context().Done()
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		w.mu.Lock()
+		f := w.faults
+		w.mu.Unlock()
+		switch {
+		case f.Silent || w.closed():
+			<-r.Context().Done()
+		case rand.Float64() < f.Unanswered:
+			w.serveLate(next, r, body)
+		case rand.Float64() < f.LostAnswers:
+			next.ServeHTTP(discardWriter{}, r)
+			<-r.Context().Done()
+		default:
+			next.ServeHTTP(rw, r)
+			w.dropAnswer(r)
+		}
 	})
 }
 
+// dropAnswer ends the handling of a call whose answer must not be sent, because the worker has become silent or its process
+// has ended in the meantime: the server then closes the connection.
+func (w *Worker) dropAnswer(r *http.Request) {
+	w.mu.Lock()
+	silent := w.faults.Silent
+	w.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+	}
+	if silent || w.closed() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serveLate leaves a call without an answer and executes it 2 to 12 s later.
+func (w *Worker) serveLate(next http.Handler, r *http.Request, body []byte) {
+	late := r.Clone(context.WithoutCancel(r.Context()))
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(minLateDelay+rand.N(maxLateDelay-minLateDelay), func() { next.ServeHTTP(discardWriter{}, late) })
+	<-r.Context().Done()
+}
+
 // discardWriter drops a response.
 type discardWriter struct{}
 
@@ -448,11 +419,9 @@
 }
 
 func (w *Worker) start(c workerCall) string {
-	select {
-	case <-w.done:
+	if w.closed() {
 		// The call was in flight when the worker was closed.
 		return "fence"
-	default:
 	}
 	switch {
 	case w.fenced(c):
@@ -474,31 +443,19 @@
 	if allowed := w.allowedCPU(); used > allowed {
 		w.ledger.AddViolation("worker %s has %d of %d thousandths of a core in use with task %s", w.cfg.ID, used, allowed, c.Task)
 	}
-	if w.cfg.Crash != nil && strings.HasSuffix(c.Spec, CrashSuffix) {
-		time.AfterFunc(crashDelay, func() { w.crash(c.Task) })
-	}
 	now := time.Now()
+	run := &workerRun{task: c.Task, run: c.Run, cpu: cpu, began: now, length: length, updated: now}
+	if w.cfg.Crash != nil {
+		run.crashAt, run.bad = CrashPoint(c.Spec, c.Task)
+	}
 	w.ledger.begin(c.Task, w.cfg.ID)
-	w.running[c.Task] = &workerRun{task: c.Task, run: c.Run, cpu: cpu, began: now, length: length, updated: now}
+	w.running[c.Task] = run
 	w.highestRun[c.Task] = c.Run
 	w.starts++
-	return ""
-}
-
-// crash ends the worker because of a task that it runs.
-func (w *Worker) crash(task string) {
-	select {
-	case <-w.done:
-		return
-	default:
-	}
-	w.mu.Lock()
-	running := w.running[task] != nil
-	w.mu.Unlock()
-	if running {
-		w.ledger.recordCrash(task)
-		w.cfg.Crash()
+	if run.bad && run.crashAt == 0 {
+		w.crash(run)
 	}
+	return ""
 }
 
 func (w *Worker) serveStop(rw http.ResponseWriter, r *http.Request) {
@@ -548,20 +505,51 @@
 		percent := int(100 * run.progress / max(run.length, 1))
 		running = append(running, []any{run.task, run.run, "", min(percent, 99)})
 	}
+	w.recordListedFailures()
 	w.reply(rw, "", map[string]any{"running": running, "ended": append([][]any{}, w.ended...)})
 }
 
+// recordListedFailures counts the failed runs among the ends that are listed for the first time. The caller holds w.mu.
+func (w *Worker) recordListedFailures() {
+	for _, e := range w.ended {
+		if e[0].(int) > w.lastListed && e[3] == "failed" {
+			w.ledger.recordFailure(e[1].(string))
+		}
+	}
+	w.lastListed = w.lastEnded
+}
+
 func (w *Worker) noneEnded() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return len(w.ended) == 0
 }
 
-// ParsePayload parses the CPU, in thousandths of a core, and the run time, in ms, from a payload such as "3100 60".
+// ParsePayload parses the CPU, in thousandths of a core, and the run time, in ms, from a payload such as "3100 60". A
+// suffix of CrashPayload is left out.
 func ParsePayload(payload string) (cpu int, run time.Duration) {
-	first, second, _ := strings.Cut(strings.TrimSuffix(payload, CrashSuffix), " ")
+	payload, _, _ = strings.Cut(payload, crashMark)
+	first, second, _ := strings.Cut(payload, " ")
 	// A payload of another form parses as 0: it takes no CPU and ends immediately.
 	cpu, _ = strconv.Atoi(first)
 	ms, _ := strconv.Atoi(second)
 	return cpu, time.Duration(ms) * time.Millisecond
 }
+
+// CrashPayload adds to the payload of a job that the task with the given index crashes its worker when its run has got on
+// by delay: before the start is answered if delay is 0, instead of its end if delay is the run time.
+func CrashPayload(payload string, task int, delay time.Duration) string {
+	return fmt.Sprintf("%s%s%d %d", payload, crashMark, task, delay.Milliseconds())
+}
+
+// CrashPoint returns the progress at which a task, named as in /run-start, crashes its worker according to the payload, and
+// whether it does so.
+func CrashPoint(payload, task string) (time.Duration, bool) {
+	_, crash, marked := strings.Cut(payload, crashMark)
+	index, delay, _ := strings.Cut(crash, " ")
+	ms, err := strconv.Atoi(delay)
+	if !marked || err != nil || task[strings.LastIndexByte(task, '.')+1:] != index {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -22,6 +22,8 @@
 	maxTries = 3
 	// maxCallerPause is the upper bound of a caller's random pause between two jobs.
 	maxCallerPause = 80 * time.Millisecond
+	// earlyCrash is the progress at which bad tasks of the users' platform crash their workers.
+	earlyCrash = 60 * time.Millisecond
 )
 
 // callers submit jobs and check the answers against the ledger of the workers.
@@ -31,9 +33,11 @@
 	mu     sync.Mutex
 	next   int
 	result Report
+	// began holds the times at which jobs with a bad task were first submitted, by job.
+	began map[string]time.Time
 }
 
-func newCallers(s *site) *callers { return &callers{site: s} }
+func newCallers(s *site) *callers { return &callers{site: s, began: map[string]time.Time{}} }
 
 func (c *callers) addViolation(format string, args ...any) {
 	c.mu.Lock()
@@ -51,30 +55,44 @@
 	id    string
 	tasks int
 	body  string
+	// bad is set if one of the tasks crashes its workers.
+	bad bool
 }
 
-func (c *callers) newJob(rng *rand.Rand) job {
+// task returns the name of a task as in the calls of the workers.
+func (j job) task(index int) string { return fmt.Sprintf("%s.0.0.%d", j.id, index) }
+
+// newJob returns the next job. The given share of jobs has a bad task.
+func (c *callers) newJob(rng *rand.Rand, crashes float64) job {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next++
 	c.result.Jobs++
 	j := job{id: fmt.Sprintf("%016x", c.next), tasks: 1 + rng.IntN(8)}
 	ms := []int{60, 200, 900}[rng.IntN(3)]
-	suffix := ""
-	if c.site.cfg.Crashes > 0 && rng.Float64() < c.site.cfg.Crashes {
-		suffix = fleet.CrashSuffix
+	payload := fmt.Sprintf("3100 %d", ms)
+	if crashes > 0 && rng.Float64() < crashes {
+		j.bad, c.began[j.id] = true, time.Now()
+		payload = fleet.CrashPayload(payload, rng.IntN(j.tasks), drawCrashDelay(rng, time.Duration(ms)*time.Millisecond))
 	}
-	j.body = fmt.Sprintf(`{"spec":"3100 %d%s","bestEffort":true,"steps":[{"count":%d,"cpu":3100,"memMb":64,"estimateMs":%d}]}`, ms, suffix, j.tasks, ms)
+	j.body = fmt.Sprintf(`{"spec":%q,"bestEffort":true,"steps":[{"count":%d,"cpu":3100,"memMb":64,"estimateMs":%d}]}`, payload, j.tasks, ms)
 	return j
 }
 
+// drawCrashDelay chooses when a bad task with the given run time crashes its workers: before its start is answered, 60 ms
+// later, at a random point of the run, or at its end. One task does so at the same point of each run.
+func drawCrashDelay(rng *rand.Rand, run time.Duration) time.Duration {
+	point := time.Duration(1+rng.Int64N(run.Milliseconds())) * time.Millisecond
+	return []time.Duration{0, earlyCrash, point, run}[rng.IntN(4)]
+}
+
 // submitAll submits jobs one after another until ctx ends. It reuses connections until they break.
 func (c *callers) submitAll(ctx context.Context, number int) {
 	rng := rand.New(rand.NewPCG(c.site.cfg.Seed, uint64(100+number)))
 	client := &http.Client{Transport: &http.Transport{}, Timeout: callerTimeout}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		c.submit(client, rng, c.newJob(rng))
+		c.submit(client, rng, c.newJob(rng, c.site.cfg.Crashes))
 		time.Sleep(time.Duration(rng.Int64N(int64(maxCallerPause))))
 	}
 }
@@ -107,11 +125,14 @@
 func (c *callers) checkAnswer(j job, state string) {
 	if state != "completed" {
 		c.count(func(r *Report) { r.Failed++ })
+		if state == "failed" && !mayFail(j, c.site.ledger.Failures) {
+			c.addViolation("job %s was reported as failed without a bad task or one with %d failures; %s", j.id, maxAttempts, describeTasks(c.site.ledger, j))
+		}
 		return
 	}
 	c.count(func(r *Report) { r.Completed++ })
 	for i := range j.tasks {
-		if c.site.ledger.SuccessfulRuns(fmt.Sprintf("%s.0.0.%d", j.id, i)) == 0 {
+		if c.site.ledger.SuccessfulRuns(j.task(i)) == 0 {
 			c.addViolation("job %s was reported as completed, but its task %d did not complete", j.id, i)
 		}
 	}
@@ -145,14 +166,15 @@
 	return resp.StatusCode, answer.State, nil
 }
 
-// waitServed reports whether every gateway completes a job within limit.
+// waitServed reports whether every gateway completes a job within limit. None of its jobs has a bad task: these would be
+// further faults, and keep the queue contained.
 func (c *callers) waitServed(ctx context.Context, limit time.Duration) bool {
 	rng := rand.New(rand.NewPCG(c.site.cfg.Seed, 2))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callerTimeout}
 	until := time.Now().Add(limit)
 	for g := range c.site.callerProxies {
 		for {
-			status, state, err := c.send(client, g, c.newJob(rng))
+			status, state, err := c.send(client, g, c.newJob(rng, 0))
 			if err == nil && status == http.StatusOK && state == "completed" {
 				break
 			}
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -21,6 +21,8 @@
 	host    = "shop.example"
 	prefix  = "/proofs/"
 	domains = 2
+	// maxAttempts is the number of failures of a task after which the queue gives up its job.
+	maxAttempts = 3
 )
 
 // loopback returns an address of the loopback range for this process, so that concurrent soaks do not take each
@@ -126,10 +128,17 @@
 	w.worker = fleet.NewWorker(w.cfg, l)
 	w.server = &http.Server{Handler: w.worker.Handler()}
 	server := w.server
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(resettingListener{listener}) }()
 	return nil
 }
 
+// endProcess ends the runs but leaves the address open, where nothing is answered any more, so that the end is not seen.
+func (w *workerSite) endProcess() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.worker.Close()
+}
+
 func (w *workerSite) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -151,6 +160,19 @@
 	w.worker.SetFaults(f)
 }
 
+// resettingListener accepts connections that are reset when they are closed, as those of a process that crashes.
+type resettingListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l resettingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// The error is ignored: the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	return conn, err
+}
+
 // site holds the processes, stand-ins and proxies of a soak.
 type site struct {
 	cfg           Config
@@ -165,6 +187,8 @@
 
 	mu      sync.Mutex
 	version int
+	// exceptions holds the times of the faults beside which a task may crash more workers than maxCrashes.
+	exceptions []interval
 }
 
 func newSite(cfg Config) (*site, error) {
@@ -245,7 +269,7 @@
 	defer s.mu.Unlock()
 	s.version++
 	s.store.Put(platform.ConfigStream, "config", fmt.Sprintf(`{"version":%d,"routes":[{"name":"q","host":%q,"pathPrefix":%q,
-		"service":%q,"maxAttempts":3,"slackFactor":1.6,"targetLatencyMs":60}]}`, s.version, host, prefix, service))
+		"service":%q,"maxAttempts":%d,"slackFactor":1.6,"targetLatencyMs":60}]}`, s.version, host, prefix, service, maxAttempts))
 }
 
 // stop stops everything that the soak started.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -38,8 +39,8 @@
 	Gateways int
 	Runners  int
 	Callers  int
-	// Crashes is the share of jobs with a task that crashes its workers. Capacities change if it is not 0, and the faults leave
-	// out pauses and cuts, under which the users allow more crashes, and faults of runners.
+	// Crashes is the share of jobs with a task that crashes its workers. If it is not 0, capacities change, and there are more
+	// kinds of faults.
 	Crashes float64
 	Out     io.Writer
 }
@@ -86,6 +87,7 @@
 	r := c.report()
 	r.Faults, r.Crashes = faults, s.ledger.Crashes()
 	r.Violations = append(r.Violations, s.ledger.Violations()...)
+	r.Violations = append(r.Violations, excessiveCrashes(s.ledger.CrashTimes(), c.began, s.exceptions)...)
 	return r, nil
 }
 
@@ -100,7 +102,7 @@
 		for range 1 + rng.IntN(2) {
 			n++
 			_, _ = fmt.Fprintf(s.cfg.Out, "%7.2f s  %s\n", time.Since(began).Seconds(), fault.name)
-			wg.Go(fault.inject)
+			wg.Go(func() { s.inject(fault) })
 		}
 		time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
 	}
@@ -111,6 +113,20 @@
 type fault struct {
 	name   string
 	inject func()
+	// exception is set if a task may crash more than maxCrashes workers beside the fault: gateways then do not learn of all
+	// crashes, or do not know what has run.
+	exception bool
+}
+
+// inject injects a fault and records its time if it is an exception.
+func (s *site) inject(f fault) {
+	from := time.Now()
+	f.inject()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.exception {
+		s.exceptions = append(s.exceptions, interval{from, time.Now()})
+	}
 }
 
 // drawFault chooses a random fault. All random choices of a fault are made here, so that a seed reproduces the series.
@@ -124,47 +140,80 @@
 	storeFault := []fleet.StoreFaults{{Down: true}, {Silent: true}, {Delay: 200 * time.Millisecond}, {Lose: true}}[rng.IntN(4)]
 	workerFault := []fleet.WorkerFaults{{Fail: true}, {Hang: true}, {Unanswered: 0.3}, {Draining: true}}[rng.IntN(4)]
 	kind := rng.IntN(10)
-	if s.cfg.Crashes > 0 {
-		p, kind = s.gateways[rng.IntN(len(s.gateways))], []int{0, 1, 4, 6, 8}[rng.IntN(5)]
+	if s.cfg.Crashes > 0 && rng.IntN(3) == 0 {
+		return s.drawCrashFault(rng, span)
 	}
+	isRunner := slices.Contains(s.runners, p)
 	switch kind {
 	case 0:
-		return fault{"kill " + p.name, func() { s.restart(p, syscall.SIGKILL, span/4) }}
+		return fault{"kill " + p.name, func() { s.restart(p, syscall.SIGKILL, span/4) }, true}
 	case 1:
-		return fault{"stop " + p.name, func() { s.restart(p, syscall.SIGTERM, span/4) }}
+		return fault{"stop " + p.name, func() { s.restart(p, syscall.SIGTERM, span/4) }, isRunner}
 	case 2, 3:
 		return fault{fmt.Sprintf("pause %s for %s", p.name, span), func() {
 			p.signal(syscall.SIGSTOP)
 			time.Sleep(span)
 			p.signal(syscall.SIGCONT)
-		}}
+		}, true}
 	case 4:
-		return fault{"reset connections", proxy.Reset}
+		return fault{"reset connections", proxy.Reset, false}
 	case 5:
 		return fault{fmt.Sprintf("break connections (%d) for %s", broken, span), func() {
 			proxy.Set(broken)
 			time.Sleep(span)
 			proxy.Set(Pass)
-		}}
+		}, true}
 	case 6:
 		return fault{fmt.Sprintf("store %+v for %s", storeFault, span), func() {
 			s.store.SetFaults(storeFault)
 			time.Sleep(span)
 			s.store.SetFaults(fleet.StoreFaults{})
-		}}
+		}, false}
 	case 7:
-		return fault{fmt.Sprintf("worker %s %+v for %s", w.cfg.ID, workerFault, span), func() {
-			w.set(workerFault)
-			time.Sleep(span)
-			w.set(fleet.WorkerFaults{})
-		}}
+		return s.workerFault(w, workerFault, span)
 	case 8:
-		return fault{"worker " + w.cfg.ID + " restarts", func() { s.restartWorker(w, span) }}
+		return fault{"worker " + w.cfg.ID + " restarts", func() { s.restartWorker(w, span) }, false}
+	default:
+		return fault{"publish and " + domain, func() { s.drain(domain, span) }, false}
+	}
+}
+
+// drawCrashFault chooses a random fault of those that only soaks with crashes have.
+func (s *site) drawCrashFault(rng *rand.Rand, span time.Duration) fault {
+	order := rng.Perm(len(s.workers))
+	w := s.workers[order[0]]
+	several := order[:min(2+rng.IntN(3), len(order))]
+	sig := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[rng.IntN(2)]
+	switch rng.IntN(4) {
+	case 0:
+		return fault{fmt.Sprintf("workers %v crash", several), func() {
+			var wg sync.WaitGroup
+			for _, i := range several {
+				wg.Go(func() { s.restartWorker(s.workers[i], span) })
+			}
+			wg.Wait()
+		}, false}
+	case 1:
+		return fault{fmt.Sprintf("worker %s restarts behind a cut of %s", w.cfg.ID, span), func() { s.restartBehindCut(w, span) }, true}
+	case 2:
+		return s.workerFault(w, fleet.WorkerFaults{LostAnswers: 0.3}, span)
 	default:
-		return fault{"publish and " + domain, func() { s.drain(domain, span) }}
+		return fault{fmt.Sprintf("restart all gateways in turn (%v)", sig), func() {
+			for _, p := range s.gateways {
+				s.restart(p, sig, 0)
+			}
+		}, sig == syscall.SIGKILL}
 	}
 }
 
+func (s *site) workerFault(w *workerSite, f fleet.WorkerFaults, span time.Duration) fault {
+	return fault{fmt.Sprintf("worker %s %+v for %s", w.cfg.ID, f, span), func() {
+		w.set(f)
+		time.Sleep(span)
+		w.set(fleet.WorkerFaults{})
+	}, f.Unanswered+f.LostAnswers > 0}
+}
+
 // resizeWorkers changes the capacities of workers until ctx ends.
 func (s *site) resizeWorkers(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.cfg.Seed, 3))
@@ -199,6 +248,15 @@
 	}
 }
 
+// restartBehindCut makes a worker silent, ends its process while it is, and starts the next incarnation when span has passed.
+func (s *site) restartBehindCut(w *workerSite, span time.Duration) {
+	w.set(fleet.WorkerFaults{Silent: true})
+	time.Sleep(span / 2)
+	w.endProcess()
+	time.Sleep(span / 2)
+	s.restartWorker(w, 0)
+}
+
 func (s *site) drain(domain string, span time.Duration) {
 	s.publish()
 	s.store.Put(platform.ConfigStream, domain, "{}")
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -18,7 +18,7 @@
 	program := buildProgram(t)
 	for _, seed := range []uint64{1, 2} {
 		r, err := soak.Run(t.Context(), soak.Config{
-			Program: program, Dir: t.TempDir(), Seed: seed, Span: 12 * time.Second, Gateways: 3, Runners: 10, Callers: 12, Crashes: 0.01,
+			Program: program, Dir: t.TempDir(), Seed: seed, Span: 12 * time.Second, Gateways: 3, Runners: 10, Callers: 12, Crashes: 0.05,
 			Out: io.Discard,
 		})
 		assert.NilError(t, err, "seed %d", seed)
