Leave no job waiting beside idle workers because of crashes

Cause: a job that may have run is not refused, and waits for the workers set aside for its queue however long they are away; and each gateway isolated one task at a time, also where workers idle. A job of which nothing has run for 2 s may now run alone on an idle worker that is not set aside, where a bad task harms nobody else; and a quarter of the workers may be used for isolated runs as long as they are idle, a twentieth if other runs have to end first. TestJobOfContainedQueueDoesNotWaitBesideIdleWorkers and TestSuspectsDoNotWaitBesideIdleWorkers failed before.

--- a/queue/config.go
+++ b/queue/config.go
@@ -58,9 +58,13 @@
 	// maxStartsAtCrashLimit is how often a task is started after it took part in as many crashes of workers as
 	// quarantine allows without a verdict, in case these starts end without one.
 	maxStartsAtCrashLimit = 2
-	// isolationDivisor bounds the number of isolated runs of the entry: one for so many runners, and at least one. Each takes
-	// a whole worker.
-	isolationDivisor = 20
+	// busyIsolationDivisor and idleIsolationDivisor bound the number of isolated runs of the entry, on workers that have to
+	// end other runs first and on idle ones: one for so many runners, and at least one. Each takes a whole worker.
+	busyIsolationDivisor = 20
+	idleIsolationDivisor = 4
+	// maxContainedIdle is the time in ms after which a job of a contained queue that has begun, and of which nothing runs, may
+	// use an idle worker that is not set aside for the queue. The users allow 3 s beside idle workers.
+	maxContainedIdle = 2 * clock.Second
 	// failingPercent is the share of failed runs from which a runner counts as failing.
 	failingPercent = 40
 )
--- a/queue/isolate.go
+++ b/queue/isolate.go
@@ -5,18 +5,24 @@
 )
 
 // needsIsolation reports whether the next run of a task has to be the only one on its worker.
-func (s *Scheduler) needsIsolation(t *task) bool {
-	return t.suspect && s.ledger.NeedsIsolation(t.quarantineKey())
+func (s *Scheduler) needsIsolation(now clock.Millis, t *task) bool {
+	return t.suspect && s.ledger.NeedsIsolation(t.quarantineKey()) || s.isOverdue(now, t.job)
+}
+
+// isOverdue reports whether a job has waited too long for the workers set aside for its queue. Its tasks may be bad, so they
+// run alone on other workers.
+func (s *Scheduler) isOverdue(now clock.Millis, j *Job) bool {
+	return j.hasEndedRun && j.inFlight == 0 && now-j.idleSince >= maxContainedIdle && s.contains(j.queue)
 }
 
 // hasIsolatedTask reports whether a waiting task of the job needs a worker of its own. Such a task may be ordered from a
 // runner without free capacity, which then takes no other runs.
-func (s *Scheduler) hasIsolatedTask(j *Job) bool {
+func (s *Scheduler) hasIsolatedTask(now clock.Millis, j *Job) bool {
 	if s.ledger.Empty() {
-		return false
+		return s.isOverdue(now, j)
 	}
 	for _, t := range j.tasks {
-		if t.state == taskWaiting && s.needsIsolation(t) {
+		if t.state == taskWaiting && s.needsIsolation(now, t) {
 			return true
 		}
 	}
@@ -28,7 +34,7 @@
 func (s *Scheduler) placeIsolated(actions []Action, now clock.Millis, waiting []*task) ([]Action, []*task) {
 	others := waiting[:0]
 	for _, t := range waiting {
-		if !s.needsIsolation(t) {
+		if !s.needsIsolation(now, t) {
 			others = append(others, t)
 			continue
 		}
@@ -47,29 +53,32 @@
 	return order
 }
 
-// isolatedRuns returns the number of isolated runs that are in flight, and the limit of it.
-func (s *Scheduler) isolatedRuns() (int, int) {
-	n, linked := 0, 0
+// isolatedRuns returns the number of isolated runs that are in flight.
+func (s *Scheduler) isolatedRuns() int {
+	n := 0
 	for _, r := range s.sortedRunners {
 		if r.isolated != nil {
 			n++
 		}
-		if r.linked {
-			linked++
-		}
 	}
-	return n, max(linked/isolationDivisor, 1)
+	return n
 }
 
 // chooseIsolationRunner returns the runner for a task that needs a worker of its own, or nil if there is none now.
 func (s *Scheduler) chooseIsolationRunner(now clock.Millis, t *task) *Runner {
-	if n, limit := s.isolatedRuns(); n >= limit {
+	n, linked := s.isolatedRuns(), s.LinkedRunners()
+	if n >= max(linked/idleIsolationDivisor, 1) {
 		return nil
 	}
+	busyAllowed, overdue := n < max(linked/busyIsolationDivisor, 1), s.isOverdue(now, t.job)
 	var best *Runner
 	step := t.job.steps[t.step]
 	for _, r := range s.sortedRunners {
-		if !r.acceptsOrders(now, s.cfg.MaxReportAge) || s.drained[r.enrollment.Domain] || !r.serves(t.job.queue.Service, step) || !s.allows(t.job.queue, r) {
+		if !r.acceptsOrders(now, s.cfg.MaxReportAge) || s.drained[r.enrollment.Domain] || !r.serves(t.job.queue.Service, step) {
+			continue
+		}
+		idle := r.load() == 0
+		if !idle && !busyAllowed || !s.allows(t.job.queue, r) && !(overdue && idle) {
 			continue
 		}
 		if best == nil || s.betterForIsolation(r, best, t) {
--- a/queue/isolate_test.go
+++ b/queue/isolate_test.go
@@ -1,6 +1,7 @@
 package queue_test
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -96,3 +97,48 @@
 	assert.Equal(t, len(sent), 1)
 	assert.Assert(t, sent[0].isolated)
 }
+
+// maxIdle is the time in ms for which a job may have nothing running while workers have room for it, by the users' page.
+const maxIdle = 3 * clock.Second
+
+// Guards against a job that has begun and then waits for the workers set aside for its queue, while all others idle (LOST).
+func TestJobOfContainedQueueDoesNotWaitBesideIdleWorkers(t *testing.T) {
+	h := newFleet()
+	h.crashJobs(4)
+	h.submit("begun", 1, 60, 20*clock.Second)
+	sent := h.takeOrders()
+	assert.Equal(t, len(sent), 1)
+	away := sent[0].runner
+	h.crash(away, sent[0].run, lavendercourse.RunID{Job: "beside", Run: 1})
+	h.endRun(sent[0], lavendercourse.EndCrashed, lavendercourse.Resources{})
+	for waited := clock.Millis(0); waited < maxIdle; waited += 100 {
+		h.now += 100
+		for i := range 11 {
+			name := fmt.Sprintf("r%d", i)
+			r := h.loadReport(name, capacity)
+			r.AcceptsRuns = name != away
+			h.perform(h.scheduler.HandleReport(h.now, name, r))
+		}
+		h.perform(h.scheduler.Tick(h.now))
+		if sent = h.takeOrders(); len(sent) > 0 {
+			break
+		}
+	}
+	assert.Equal(t, len(sent), 1, "the job waits although ten workers are idle")
+	assert.Assert(t, sent[0].isolated, "it may be bad too")
+}
+
+// Guards against suspects that wait for each other while workers idle (LOST).
+func TestSuspectsDoNotWaitBesideIdleWorkers(t *testing.T) {
+	h := newHarness("d1")
+	for i := range 20 {
+		h.enroll(fmt.Sprintf("r%d", i), "d1")
+	}
+	isolated := 0
+	for i := range 5 {
+		if crashTwice(t, h, fmt.Sprintf("job %d", i)).isolated {
+			isolated++
+		}
+	}
+	assert.Equal(t, isolated, 5)
+}
--- a/queue/job.go
+++ b/queue/job.go
@@ -88,6 +88,9 @@
 	// waiting and inFlight count tasks.
 	waiting  int
 	inFlight int
+	// idleSince is the time in ms of the end of the last run, or of the arrival. While nothing is in flight, nothing of the
+	// job has run since.
+	idleSince clock.Millis
 	// waitingWork is the work of the waiting tasks, see work.
 	waitingWork int64
 	// hasEndedRun tells whether a run that may have executed has ended. Refused runs have not executed.
@@ -100,7 +103,7 @@
 // number that an earlier submission of the job used, or 0.
 func newJob(now clock.Millis, s lavendercourse.Submission, q route.Queue, id string, lastRunNumber int) (*Job, string) {
 	j := &Job{
-		key: q.Host + q.PathPrefix + id, id: id, queue: q, payload: s.Payload, digest: digestOf(s), steps: s.Steps, arrived: now, callers: 1,
+		key: q.Host + q.PathPrefix + id, id: id, queue: q, payload: s.Payload, digest: digestOf(s), steps: s.Steps, arrived: now, idleSince: now, callers: 1,
 		remaining: make([]int, len(s.Steps)),
 	}
 	if len(s.Steps) == 0 {
--- a/queue/place.go
+++ b/queue/place.go
@@ -21,7 +21,7 @@
 	var actions []Action
 	kept := s.waiting[:0]
 	for _, j := range s.waiting {
-		if j.minCPU <= largestFreeCPU || s.hasIsolatedTask(j) {
+		if j.minCPU <= largestFreeCPU || s.hasIsolatedTask(now, j) {
 			before := j.waiting
 			actions = s.placeJob(actions, now, j, available)
 			if j.waiting != before {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -281,7 +281,7 @@
 // requeueAll makes all tasks in flight on a runner wait again, after their runs have expired or ended.
 func (s *Scheduler) requeueAll(actions []Action, now clock.Millis, r *Runner) []Action {
 	for _, task := range sortedTasks(r.inFlight) {
-		task.job.hasEndedRun = true
+		task.job.hasEndedRun, task.job.idleSince = true, now
 		s.requeue(task, true)
 		actions = s.giveUpCrashingTask(actions, now, task)
 	}
@@ -350,7 +350,9 @@
 // endRun handles the end of one run.
 func (s *Scheduler) endRun(actions []Action, now clock.Millis, r *Runner, task *task, end message.RunEnd) []Action {
 	j := task.job
-	j.hasEndedRun = j.hasEndedRun || end.Kind != lavendercourse.EndRefused
+	if end.Kind != lavendercourse.EndRefused {
+		j.hasEndedRun, j.idleSince = true, now
+	}
 	switch end.Kind {
 	case lavendercourse.EndDone:
 		r.remove(task)
