--- a/room/config.go
+++ b/room/config.go
@@ -68,8 +68,8 @@
 	// is still named in a crash.
 	isolationDelay = 100 * clock.Millis(1)
 	// maxIsolationWait, in ms, is how long an isolated run may wait for the other runs to end, during which the worker takes
-	// no new ones.
-	maxIsolationWait = 1500 * clock.Millis(1)
+	// no new ones. The users allow a job to wait for 3 s while workers have room.
+	maxIsolationWait = 2500 * clock.Millis(1)
 	// reportAgeMargin, in ms, is the time by which the last report of a worker may be older than its heartbeats are apart. The
 	// capacity may have shrunk right after the report; the users allow 3 s and one heartbeat until starts must heed that, and
 	// a start may be carried out up to 900 ms after it was sent.
