Name all that may have crashed a worker, and report crashes of idle ones

A run in doubt, which may be carried out late by the next incarnation, was not named in that one's crash, so the crash could be put down to the only other run. A crash of a worker without runs was not reported, so a worker that crashes by itself again and again looked sound, was chosen for isolated runs, and its crashes counted as evidence against them. TestCrashNamesRunsInDoubt and TestCrashOfIdleWorkerIsReported failed before. TestExpiredRunsOfReachableWorkerAreNoCrash asserted that nothing is reported; it now asserts that the report, of an idle worker, names no run.

--- a/event/event.go
+++ b/event/event.go
@@ -134,5 +134,5 @@
 	RunEnded            = register(613, zerolog.InfoLevel, "run ended")
 	WorkerLosesAnswers  = register(614, zerolog.WarnLevel, "worker leaves a share of the calls unanswered")
 	WorkerAnswersAll    = register(615, zerolog.InfoLevel, "worker answers all calls again")
-	WorkerCrashed       = register(616, zerolog.WarnLevel, "process of the worker ended while it had runs")
+	WorkerCrashed       = register(616, zerolog.WarnLevel, "process of the worker ended")
 )
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -193,6 +193,22 @@
 	assert.Assert(t, !l.Responsible(task("j3")), "both workers crash again and again")
 }
 
+// Guards against a task that is responsible for crashes of workers that crash as often while they are idle.
+func TestCrashesOfIdleWorkersWeakenTheEvidence(t *testing.T) {
+	for _, idle := range []int{0, 3} {
+		l := quarantine.NewLedger()
+		for i := range 2 {
+			runner := fmt.Sprint("r", i)
+			at := 10 * clock.Second * clock.Millis(i+1)
+			for n := range idle {
+				l.Record(at-clock.Second*clock.Millis(n+1), 0, quarantine.CrashID{Runner: runner, Incarnation: int64(n)}, nil, workers)
+			}
+			l.Record(at, 0, quarantine.CrashID{Runner: runner, Incarnation: 9}, []quarantine.Suspect{{Task: task("a"), Age: runAge}}, workers)
+		}
+		assert.Equal(t, l.Responsible(task("a")), idle == 0)
+	}
+}
+
 // Guards against a bad task that is never found among innocent ones, at any delay of its crashes: it is responsible after
 // five crashes at the latest.
 func TestBadTaskIsFound(t *testing.T) {
--- a/room/config.go
+++ b/room/config.go
@@ -174,7 +174,8 @@
 }
 
 // ReportCrash instructs the runner to log that the worker's process ended while it may have executed the given runs. It
-// comes before the ReportEnd actions of these runs.
+// comes before the ReportEnd actions of these runs. A crash of an idle worker has no runs: it shows that the worker crashes for
+// other reasons.
 type ReportCrash struct {
 	Crash message.Crash
 	// Observed is set if the worker answered until its process ended, and was not shutting down. Only then the runs may have
--- a/room/crash_test.go
+++ b/room/crash_test.go
@@ -53,7 +53,8 @@
 	h.now += 3 * clock.Second
 	h.table.Tick(h.now)
 	h.renew(lavendercourse.ReplyAccepted)
-	assert.Equal(t, len(crashes(h.heartbeat(firstIncarnation+1, false))), 0)
+	// The end of the next incarnation, a moment later, is a crash of an idle worker.
+	assert.DeepEqual(t, crashes(h.heartbeat(firstIncarnation+1, false)), [][]lavendercourse.RunID{nil})
 }
 
 // observed returns, for each ReportCrash action, whether entries are told of it.
@@ -119,3 +120,23 @@
 		assert.DeepEqual(t, crashes(h.table.WorkerDown(h.now)), [][]lavendercourse.RunID{c.want})
 	}
 }
+
+// Guards against a worker that crashes again and again while it is idle, and looks sound to the entries.
+func TestCrashOfIdleWorkerIsReported(t *testing.T) {
+	h := newReadyHarness(t)
+	assert.DeepEqual(t, observed(h.table.WorkerDown(h.now)), []bool{true})
+	h = newReadyHarness(t)
+	h.now += 600
+	assert.Equal(t, len(observed(h.heartbeat(firstIncarnation+1, false))), 0, "an idle worker that was silent is nobody's concern")
+}
+
+// Guards against a crash that is put down to the only run known to run, although an unanswered start of the incarnation before
+// may have been carried out late.
+func TestCrashNamesRunsInDoubt(t *testing.T) {
+	h := newReadyHarness(t)
+	h.order(runID(0))
+	h.heartbeat(firstIncarnation+1, false)
+	h.incarnation = firstIncarnation + 1
+	h.renew(lavendercourse.ReplyUnavailable)
+	assert.DeepEqual(t, crashes(h.table.WorkerDown(h.now)), [][]lavendercourse.RunID{{runID(0)}})
+}
--- a/room/room.go
+++ b/room/room.go
@@ -272,10 +272,8 @@
 			ends = t.endRun(ends, now, run, lavendercourse.EndRefused, lavendercourse.ReplyUnavailable, causeWorkerEnded)
 			continue
 		}
-		if run.state != stateInDoubt {
-			report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: now - run.firstSentAt})
-			report.States = append(report.States, run.state.String())
-		}
+		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: now - run.firstSentAt})
+		report.States = append(report.States, run.state.String())
 		if run.startsSent > run.startsAnswered {
 			run.state, run.inDoubtSince, run.endKind, run.endCause = stateInDoubt, now, lavendercourse.EndCrashed, causeWorkerEnded
 			continue
@@ -283,7 +281,7 @@
 		ends = t.endRun(ends, now, run, lavendercourse.EndCrashed, lavendercourse.ReplyAccepted, causeWorkerEnded)
 	}
 	var actions []Action
-	if len(report.Crash.Runs) > 0 {
+	if len(report.Crash.Runs) > 0 || report.Observed {
 		actions = append(actions, report)
 	}
 	actions = append(actions, ends...)
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -353,7 +353,9 @@
 // recordCrash counts the end of the worker's process and logs the runs that it had, in one line so that the budget of log
 // lines does not drop some of them. If the runs may have crashed the worker, all gateways are told.
 func (r *Runner) recordCrash(now clock.Millis, a room.ReportCrash) {
-	r.metrics.workerCrashed()
+	if len(a.Crash.Runs) > 0 {
+		r.metrics.workerCrashed()
+	}
 	runs := make([]string, 0, len(a.Crash.Runs))
 	for i, c := range a.Crash.Runs {
 		runs = append(runs, fmt.Sprintf("%s.%d.%d.%d %d %s", c.Run.Job, c.Run.Step, c.Run.Task, c.Run.Run, c.Age, a.States[i]))
