--- a/queue/isolate_test.go
+++ b/queue/isolate_test.go
@@ -96,3 +96,40 @@
 	assert.Equal(t, len(sent), 1)
 	assert.Assert(t, sent[0].isolated)
 }
+
+// Guards against a job that is never answered because a runner of an earlier version ignores the order of an isolated run: its
+// reports account for all other runs, but not for this one.
+func TestIsolatedOrderThatRunnerIgnores(t *testing.T) {
+	h := newHarness("d1")
+	names := []string{"r1", "r2", "r3", "r4"}
+	for _, name := range names {
+		h.enroll(name, "d1")
+	}
+	ignored := crashTwice(t, h, "a")
+	assert.Assert(t, ignored.isolated)
+	h.orderedRuns[ignored.runner]--
+	for range 50 {
+		h.now += 300
+		for _, name := range names {
+			h.report(name, capacity)
+		}
+		h.perform(h.scheduler.Tick(h.now))
+	}
+	assert.Equal(t, len(h.takeOrders()), 1, "the task is not ordered again in 15 s")
+}
+
+// Guards against a contained queue whose jobs are all refused while a suspect has the only worker set aside for itself.
+func TestContainedQueueIsServedBesideIsolatedRun(t *testing.T) {
+	h := newHarness("d1")
+	names := []string{"r1", "r2", "r3", "r4", "r5", "r6"}
+	for _, name := range names {
+		h.enroll(name, "d1")
+	}
+	for _, cause := range []string{"x", "y", "z"} {
+		h.scheduler.HandleVerdict(h.now, message.Verdict{Service: service, Queue: testQueue.Name, Cause: cause})
+	}
+	alone := crashTwice(t, h, "a")
+	assert.Assert(t, alone.isolated)
+	j, a := h.submit("b", 1, 60, 20*clock.Second)
+	assert.Assert(t, j != nil, "job of a caller that waits 20 s, 60 ms of work: %s", a.Cause)
+}
--- a/room/crash_test.go
+++ b/room/crash_test.go
@@ -119,3 +119,26 @@
 		assert.DeepEqual(t, crashes(h.table.WorkerDown(h.now)), [][]lavendercourse.RunID{c.want})
 	}
 }
+
+// Guards against a crash that is put down to the only run that this runner ordered, although the worker had a run that it did
+// not order: one that a killed runner left behind, or whose start was carried out late.
+func TestCrashNamesRunsThatWereNotOrdered(t *testing.T) {
+	h := newReadyHarness(t)
+	h.orderIsolated(runID(1))
+	late := lavendercourse.RunID{Job: "late", Task: 7, Run: 1}
+	assert.DeepEqual(t, describe(h.renew(lavendercourse.ReplyAccepted, runID(1), late)), []string{"stop 7"})
+	named := crashes(h.table.WorkerDown(h.now))
+	assert.Equal(t, len(named), 1)
+	assert.Equal(t, len(named[0]), 2, "the crash is put down to %v alone", named[0])
+}
+
+// Guards against a crash that counts for a run that the worker has refused: the process ended before the start was sent, so
+// that the next one refuses it.
+func TestRefusedStartIsNoSuspect(t *testing.T) {
+	h := newReadyHarness(t)
+	h.order(runID(1))
+	actions := h.table.HandleStartReply(h.now, runID(1), h.table.Token(), h.workerStatus(), lavendercourse.ReplyIncarnation, nil)
+	for _, runs := range crashes(actions) {
+		assert.Equal(t, len(runs), 0, "%v was refused and is named in a crash", runs)
+	}
+}
