Put no crash down to a run that a worker never started, or to one beside foreign runs

A start that the worker refused, or whose connection was refused since the process had ended before, was named as a suspect of that end; runs that the runner did not order, carried out late or left by a killed predecessor, were not. So a crash could be put down to the wrong only run.

--- a/room/room.go
+++ b/room/room.go
@@ -267,13 +267,19 @@
 		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: ended.id, Age: now - ended.sentAt})
 		report.States = append(report.States, stateEnded)
 	}
+	for id := range t.foreign {
+		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: id})
+		report.States = append(report.States, stateForeign)
+	}
 	for _, run := range t.sortedRuns() {
 		if run.state == stateWaiting {
 			ends = t.endRun(ends, now, run, lavendercourse.EndRefused, lavendercourse.ReplyUnavailable, causeWorkerEnded)
 			continue
 		}
-		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: now - run.firstSentAt})
-		report.States = append(report.States, run.state.String())
+		if !run.neverStarted() {
+			report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: now - run.firstSentAt})
+			report.States = append(report.States, run.state.String())
+		}
 		if run.startsSent > run.startsAnswered {
 			run.state, run.inDoubtSince, run.endKind, run.endCause = stateInDoubt, now, lavendercourse.EndCrashed, causeWorkerEnded
 			continue
@@ -466,6 +472,13 @@
 	return t.endRun(nil, now, run, lavendercourse.EndRefused, reply, causeStartRefused)
 }
 
+// HandleUndeliveredStart records that a start did not reach the worker, whose address refused the connection.
+func (t *Table) HandleUndeliveredStart(id lavendercourse.RunID) {
+	if run := t.runs[keyOf(id)]; run != nil && run.id == id && run.state == stateStarting && run.startsAnswered < run.startsSent {
+		run.startsAnswered++
+	}
+}
+
 // handleStaleStartReply processes the answer to a start that was sent in an incarnation that has ended. A start that
 // was rejected is not carried out by the next incarnation either.
 func (t *Table) handleStaleStartReply(now clock.Millis, run *trackedRun, reply lavendercourse.Reply) []Action {
--- a/room/run.go
+++ b/room/run.go
@@ -23,6 +23,9 @@
 
 var stateNames = [...]string{"starting", "running", "stopping", "doubt", "waiting"}
 
+// stateForeign is the name, in logs, of the state of a run that the runner did not order.
+const stateForeign = "foreign"
+
 // stateExpired is the name, in logs, of the state of a run that was given up because the worker was silent.
 const stateExpired = "expired"
 
@@ -81,6 +84,11 @@
 	entryGone bool
 }
 
+// neverStarted reports whether the worker has refused all starts of the run, or none has reached it.
+func (t *trackedRun) neverStarted() bool {
+	return t.state == stateStarting && t.startsAnswered == t.startsSent
+}
+
 // stalled reports whether the run has made no progress for stalledPercent of its estimate, and for at least
 // minStalledTime.
 func (t *trackedRun) stalled(now clock.Millis) bool {
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -321,6 +321,11 @@
 	var reply lavendercourse.Reply
 	r.callWorker(0, a.Timeout, func() (err error) {
 		status, reply, err = r.cfg.Worker.Start(r.ctx, a.Worker, a.Order)
+		if eris.Is(err, lavendercourse.ErrWorkerDown) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.table.HandleUndeliveredStart(a.Order.Run)
+		}
 		return err
 	}, func(now clock.Millis, err error) {
 		if err != nil {
