Send orders of isolated runs only to runners that know them and are not reserved

A runner of the earlier version ignores such an order, and the task waited until its caller left; runners now say in their enrollment that they isolate runs, and others get a plain order. A runner that is reserved by another gateway looked idle and was asked again and again; it reports nothing as free, and is left out.

--- a/message/queue.go
+++ b/message/queue.go
@@ -21,6 +21,8 @@
 	// Clock is the time of the worker's clock, in ms, when it made the report that a record holds. It is 0 in messages to
 	// gateways.
 	Clock clock.Millis `cbor:"clock,omitempty"`
+	// Isolates is set if the runner carries out orders of isolated runs. Earlier versions ignore them.
+	Isolates bool `cbor:"isolates,omitempty"`
 }
 
 // Report is the load of a runner. It is sent as an array to keep it small, since most messages of a runner contain one.
--- a/queue/isolate.go
+++ b/queue/isolate.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
 )
 
@@ -48,7 +49,7 @@
 // orderIsolated assigns a task to a runner as the only one there, and returns the order to send.
 func (s *Scheduler) orderIsolated(now clock.Millis, t *task, r *Runner) Action {
 	order := s.orderRuns(now, t.job, t.step, r, []*task{t})
-	order.Isolated = true
+	order.Isolated = r.enrollment.Isolates
 	r.isolated = t
 	return order
 }
@@ -74,7 +75,9 @@
 	var best *Runner
 	step := t.job.steps[t.step]
 	for _, r := range s.sortedRunners {
-		if !r.acceptsOrders(now, s.cfg.MaxReportAge) || s.drained[r.enrollment.Domain] || !r.serves(t.job.queue.Service, step) {
+		// A runner without anything free is reserved for the isolated run of another entry.
+		if !r.acceptsOrders(now, s.cfg.MaxReportAge) || r.report.Free == (lavendercourse.Resources{}) ||
+			s.drained[r.enrollment.Domain] || !r.serves(t.job.queue.Service, step) {
 			continue
 		}
 		idle := r.load() == 0
@@ -89,10 +92,13 @@
 }
 
 // betterForIsolation tells whether r is preferred to other for an isolated run of the task. The criteria are, in this
-// order: its worker has not crashed under the task, since each further worker is more evidence; its worker has crashed less
+// order: it can isolate runs; its worker has not crashed under the task, since each further worker is more evidence; its worker has crashed less
 // often for unknown reasons; fewer runs have to end first; a hash.
 func (s *Scheduler) betterForIsolation(r, other *Runner, t *task) bool {
 	key := t.quarantineKey()
+	if a, b := r.enrollment.Isolates, other.enrollment.Isolates; a != b {
+		return a
+	}
 	if a, b := s.ledger.CrashedOn(key, r.Name()), s.ledger.CrashedOn(key, other.Name()); a != b {
 		return b
 	}
--- a/runner/record.go
+++ b/runner/record.go
@@ -125,6 +125,7 @@
 func (r *Runner) enrollment(w lavendercourse.WorkerReport) message.Enroll {
 	return message.Enroll{
 		Name: r.cfg.Name, Domain: r.cfg.Domain, Service: w.Service, Worker: w.ID, Incarnation: w.Incarnation, Capacity: w.Capacity, Labels: w.Labels,
+		Isolates: true,
 	}
 }
 
