--- a/queue/contain.go
+++ b/queue/contain.go
@@ -113,6 +113,8 @@
 		for task := range r.inFlight {
 			inUse += int64(task.job.steps[task.step].Need.CPU)
 		}
+		// A worker that is reserved for one run takes others once that has ended.
+		accepting = accepting || r.isolated != nil
 		if r.acceptsOrders(now, s.cfg.MaxReportAge) {
 			accepting = true
 			free += max(r.free.CPU, 0)
