Count all starts and ends of a task that loses its workers

Found in the review, all about the bound on starts of a task that crashes its workers (BUDGET): the starts after the third crash were counted anew with each submission; an end that is not reported as a crash counted for nothing; a crash that a gateway is told of after the enrollment on a new link marked no task that was in flight elsewhere by then; and crashes were forgotten only when another one was recorded, so that a job stayed interrupted. The counts are in the ledger now, ends that runs show count too (not as evidence), and crashes are forgotten in time. A runner whose worker has crashed no longer counts as reserved.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -46,6 +47,8 @@
 	// maxRemembered and maxTasks bound the memory of a Ledger: the number of crashes, and of suspects in each of them.
 	maxRemembered = 512
 	maxTasks      = 256
+	// maxEnds bounds the number of tasks whose ends are counted.
+	maxEnds = 65536
 	// commonCauseWindow, in ms, is the time within which the crashes of many workers have a common cause, such as a loss of
 	// power. commonCauseDivisor and minCommonCause define many: a part of all workers, but at least so many.
 	commonCauseWindow  = 30 * clock.Millis(1)
@@ -103,17 +106,28 @@
 	crashes []*crash
 	byID    map[CrashID]*crash
 	byTask  map[Task][]*crash
+	// startsAtLimit counts the starts of each task after crashLimit crashes, as long as these are remembered.
+	startsAtLimit map[Task]int
+	// ends counts the ends of workers under each task that its runs have shown, whether or not they were crashes.
+	ends map[Task]endCount
+}
+
+// endCount is a number of ends, and the time in ms of the last one.
+type endCount struct {
+	n    int
+	last clock.Millis
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{byID: map[CrashID]*crash{}, byTask: map[Task][]*crash{}}
+	return &Ledger{byID: map[CrashID]*crash{}, byTask: map[Task][]*crash{}, startsAtLimit: map[Task]int{}, ends: map[Task]endCount{}}
 }
 
 // Record records a crash of one of the given number of workers, which happened ago ms before now. It returns false if the
 // crash is known already, or too old to matter.
 func (l *Ledger) Record(now, ago clock.Millis, id CrashID, suspects []Suspect, workers int) bool {
-	l.expire(now)
+	l.Expire(now)
+	l.makeRoom()
 	if l.byID[id] != nil || ago < 0 || ago >= retention {
 		return false
 	}
@@ -176,17 +190,30 @@
 	}
 }
 
-// expire forgets crashes that are older than retention, and the oldest ones beyond maxRemembered.
-func (l *Ledger) expire(now clock.Millis) {
-	for len(l.crashes) > 0 && (now-l.crashes[0].at >= retention || len(l.crashes) >= maxRemembered) {
-		c := l.crashes[0]
-		l.crashes = l.crashes[1:]
-		delete(l.byID, c.id)
-		for _, s := range c.suspects {
-			l.byTask[s.Task] = slices.DeleteFunc(l.byTask[s.Task], func(other *crash) bool { return other == c })
-			if len(l.byTask[s.Task]) == 0 {
-				delete(l.byTask, s.Task)
-			}
+// Expire forgets crashes that are older than retention.
+func (l *Ledger) Expire(now clock.Millis) {
+	for len(l.crashes) > 0 && now-l.crashes[0].at >= retention {
+		l.forgetOldest()
+	}
+	maps.DeleteFunc(l.ends, func(_ Task, e endCount) bool { return now-e.last >= retention })
+}
+
+// makeRoom forgets the oldest crashes beyond maxRemembered.
+func (l *Ledger) makeRoom() {
+	for len(l.crashes) >= maxRemembered {
+		l.forgetOldest()
+	}
+}
+
+func (l *Ledger) forgetOldest() {
+	c := l.crashes[0]
+	l.crashes = l.crashes[1:]
+	delete(l.byID, c.id)
+	for _, s := range c.suspects {
+		l.byTask[s.Task] = slices.DeleteFunc(l.byTask[s.Task], func(other *crash) bool { return other == c })
+		if len(l.byTask[s.Task]) == 0 {
+			delete(l.byTask, s.Task)
+			delete(l.startsAtLimit, s.Task)
 		}
 	}
 }
@@ -216,11 +243,35 @@
 	return all
 }
 
-// AtLimit reports whether the task may be started only few more times, because it took part in crashLimit crashes.
-func (l *Ledger) AtLimit(t Task) bool { return l.Crashes(t) >= crashLimit }
+// CountEnd counts an end of a worker under a run of the task, which may not be reported as a crash. It returns whether the
+// task may be started only few more times.
+func (l *Ledger) CountEnd(now clock.Millis, t Task) bool {
+	if _, known := l.ends[t]; !known && len(l.ends) >= maxEnds {
+		return l.atLimit(t)
+	}
+	l.ends[t] = endCount{n: l.ends[t].n + 1, last: now}
+	return l.atLimit(t)
+}
 
-// Exhausted reports whether the task may not be started again, because it took part in maxCrashes crashes.
-func (l *Ledger) Exhausted(t Task) bool { return l.Crashes(t) >= maxCrashes }
+// CountStart counts a start of the task, or takes back one that was not carried out if n is -1. Only starts after crashLimit
+// crashes count.
+func (l *Ledger) CountStart(t Task, n int) {
+	if l.atLimit(t) {
+		l.startsAtLimit[t] = max(l.startsAtLimit[t]+n, 0)
+	}
+}
+
+// lostWorkers returns the number of workers that ended under the task.
+func (l *Ledger) lostWorkers(t Task) int { return max(l.Crashes(t), l.ends[t].n) }
+
+// atLimit reports whether the task may be started only few more times, because it has lost crashLimit workers.
+func (l *Ledger) atLimit(t Task) bool { return l.lostWorkers(t) >= crashLimit }
+
+// Exhausted reports whether the task may not be started again, because it has lost maxCrashes workers, or was started
+// maxCrashes-crashLimit times after crashLimit of them.
+func (l *Ledger) Exhausted(t Task) bool {
+	return l.lostWorkers(t) >= maxCrashes || l.startsAtLimit[t] >= maxCrashes-crashLimit
+}
 
 // NeedsIsolation reports whether the task has to be the only one on its worker, so that the next crash shows whether it is
 // responsible. Tasks that share their workers meet the crashes of a bad one among them together, again and again.
@@ -231,7 +282,7 @@
 			unexplained++
 		}
 	}
-	return unexplained >= isolationThreshold || l.AtLimit(t)
+	return unexplained >= isolationThreshold || l.atLimit(t)
 }
 
 // CrashedOn reports whether the worker beside the runner has crashed while it ran the task.
--- a/queue/config.go
+++ b/queue/config.go
@@ -55,9 +55,6 @@
 	// stopEstimateFactor is the multiple of its estimate that must be left to a job before its entry stops. Estimates are
 	// sometimes too low by half or more, and an interrupted job is worse for its caller than a refused one.
 	stopEstimateFactor = 3
-	// maxStartsAtCrashLimit is how often a task is started after it took part in as many crashes of workers as
-	// quarantine allows without a verdict, in case these starts end without one.
-	maxStartsAtCrashLimit = 2
 	// busyIsolationDivisor and idleIsolationDivisor bound the number of isolated runs of the entry, on workers that have to
 	// end other runs first and on idle ones: one for so many runners, and at least one. Each takes a whole worker.
 	busyIsolationDivisor = 20
--- a/queue/crash.go
+++ b/queue/crash.go
@@ -22,13 +22,15 @@
 	if r == nil || !isNew {
 		return nil
 	}
+	// The worker that was reserved is gone.
+	r.isolated = nil
+	s.markSuspects(suspects)
 	var actions []Action
 	cause := fmt.Sprintf("%s %d", runner, c.Incarnation)
 	for _, task := range sortedTasks(r.inFlight) {
-		if s.ledger.Crashes(task.quarantineKey()) == 0 {
+		if !task.suspect {
 			continue
 		}
-		task.suspect = true
 		q := task.job.queue
 		if s.contains(q) && !s.knowsCause(q, cause) && !s.explainsCrash(q, c) {
 			actions = append(actions, s.containQueue(now, q, cause, nil))
@@ -37,6 +39,20 @@
 	return actions
 }
 
+// markSuspects marks the tasks of a crash, wherever they are now: the entry may be told of the crash after the runs have
+// ended, on a new link.
+func (s *Scheduler) markSuspects(suspects []quarantine.Suspect) {
+	keys := map[quarantine.Task]bool{}
+	for _, suspect := range suspects {
+		keys[suspect.Task] = true
+	}
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			t.suspect = t.suspect || keys[t.quarantineKey()]
+		}
+	}
+}
+
 // knowsCause reports whether a job or a crash has counted against a queue.
 func (s *Scheduler) knowsCause(q route.Queue, cause string) bool {
 	return s.containment(q.Service).Knows(q.Name, cause)
@@ -63,7 +79,7 @@
 	log := LogCrashingTask{Job: t.job, Step: t.step, Task: t.index, Crashes: s.ledger.Participations(key), Responsible: s.ledger.Responsible(key)}
 	switch {
 	case log.Responsible:
-	case s.ledger.Exhausted(key) || t.startsAtCrashLimit >= maxStartsAtCrashLimit:
+	case s.ledger.Exhausted(key):
 		return s.endJob(append(actions, log), now, t.job, lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeExhausted})
 	case !t.contained && s.ledger.Suspected(key):
 		t.contained = true
--- a/queue/job.go
+++ b/queue/job.go
@@ -32,10 +32,8 @@
 	// run that was started and did not succeed, or that was refused with ReplyUnavailable.
 	failures    int
 	avoidRunner string
-	// suspect is set once a worker has crashed while it ran the task. startsAtCrashLimit counts the starts of a task that
-	// took part in as many crashes as quarantine allows without a verdict.
-	suspect            bool
-	startsAtCrashLimit int
+	// suspect is set once a worker has crashed while it ran the task.
+	suspect bool
 	// contained is set once the queue of the task was contained because of it.
 	contained bool
 }
--- a/queue/place.go
+++ b/queue/place.go
@@ -100,8 +100,8 @@
 	for _, task := range tasks {
 		task.state, task.runner = taskInFlight, r
 		task.runNumber++
-		if task.suspect && s.ledger.AtLimit(task.quarantineKey()) {
-			task.startsAtCrashLimit++
+		if task.suspect {
+			s.ledger.CountStart(task.quarantineKey(), 1)
 		}
 		j.waiting--
 		j.waitingWork -= task.work()
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -174,6 +174,7 @@
 	if !s.canRun(j) {
 		return nil, refusal(causeImpossible, 0), nil
 	}
+	s.ledger.Expire(now)
 	if a, refused := s.crashAnswer(j); refused {
 		s.retain(now, j, a)
 		return nil, a, nil
@@ -373,12 +374,17 @@
 			return s.endJob(actions, now, j, lavendercourse.JobAnswer{Result: lavendercourse.JobFailed, Cause: causeAttempts})
 		}
 	case lavendercourse.EndRefused:
-		task.startsAtCrashLimit = max(task.startsAtCrashLimit-1, 0)
+		if task.suspect {
+			s.ledger.CountStart(task.quarantineKey(), -1)
+		}
 		s.requeue(task, end.Reason == lavendercourse.ReplyUnavailable)
 		if end.Reason == lavendercourse.ReplyStaleRun {
 			task.runNumber += runNumberSkip
 		}
 		r.pausedUntil = now + runnerRefusalPause
+	case lavendercourse.EndCrashed:
+		task.suspect = s.ledger.CountEnd(now, task.quarantineKey()) || task.suspect
+		s.requeue(task, true)
 	default:
 		s.requeue(task, true)
 	}
@@ -457,6 +463,7 @@
 		c.Tick(now)
 	}
 	s.updatePartitions()
+	s.ledger.Expire(now)
 	work := int64(0)
 	for _, j := range append([]*Job(nil), s.waiting...) {
 		switch {
