Answer the requests that other entries forward to an entry that stops

The entry that got the submission logged that the link to the owner, which was stopping, was closed when the request was to be sent.

Cause: an entry that stops answered the forwarded requests that it had received, and closed its links. The other entries knew nothing of that: requests that they forwarded until they noticed the end of the link were lost. A request that could not even be queued, since the link had just closed, was also taken for one that may have run.

A request that is not queued is answered "not run, ask again", and its caller takes a new id.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,7 +95,11 @@
 	}
 	e.follower.withdraw(ctx)
 	err := daemon.ShutdownServer(ctx, e.callers, e.core.cfg.CallerListener)
+	// Requests that other entries forwarded before they received the leave must arrive and be answered first.
+	e.linkHandler.exchange.announceLeave(ctx)
 	e.flushLinks(ctx)
+	// Once the second leave is answered, the other entries have received all replies.
+	e.linkHandler.exchange.announceLeave(ctx)
 	e.Kill()
 	event.Stopped.On(e.core.logger).Send()
 	return err
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -18,8 +18,13 @@
 	"github.com/lavendercourse/lavendercourse/telemetry"
 )
 
-// askTimeout limits how long ownerStatus waits for the other entries, in ms.
-const askTimeout = clock.Second
+const (
+	// askTimeout limits how long ownerStatus waits for the other entries, in ms.
+	askTimeout = clock.Second
+	// leaveTimeout limits how long announceLeave waits for the other entries, in ms. Entries count on each other to answer
+	// within the quorum lease.
+	leaveTimeout = member.DefaultLease
+)
 
 // forwardHandler answers requests that other entries have forwarded.
 type forwardHandler interface {
@@ -27,8 +32,9 @@
 }
 
 type pendingRequest struct {
-	link  *link.Link
-	reply chan message.Frame
+	number uint64
+	link   *link.Link
+	reply  chan message.Frame
 }
 
 // peerExchange sends requests to the other entries and handles the frames that arrive from them.
@@ -88,12 +94,42 @@
 			// If the link has closed meanwhile the reply is lost, and the caller asks again.
 			_ = l.Send(message.TypeReply, f.Number, x.forwardHandler.handleForwarded(x.ctx, m))
 		})
+	case message.TypeLeave:
+		return x.handleLeave(l, name, f)
 	case message.TypeReply, message.TypeHeard:
 		x.deliverReply(f)
 	}
 	return nil
 }
 
+// handleLeave records that the entry at the other end of the link serves no more requests. Those that were sent to it
+// before precede the reply on the link.
+func (x *peerExchange) handleLeave(l *link.Link, name string, f message.Frame) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	l.SetTag(remoteProcess{kind: message.KindEntry, name: name, leaving: true})
+	return l.Send(message.TypeReply, f.Number, message.Reply{})
+}
+
+// announceLeave sends a leave to every linked entry and waits for the replies, for up to leaveTimeout. An entry that has
+// replied has handled all earlier frames of this entry, and the requests that it forwarded have arrived.
+func (x *peerExchange) announceLeave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout.Duration())
+	defer cancel()
+	x.mu.Lock()
+	links := maps.Clone(x.peers)
+	x.mu.Unlock()
+	var wg sync.WaitGroup
+	for name, l := range links {
+		wg.Go(func() {
+			if _, err := x.request(ctx, l, message.TypeLeave, message.Leave{}); err != nil {
+				event.LeaveUnanswered.On(x.logger).Str("peer", name).Err(err).Send()
+			}
+		})
+	}
+	wg.Wait()
+}
+
 func (x *peerExchange) handlePulse(l *link.Link, name string, f message.Frame) error {
 	var p message.Pulse
 	if err := f.DecodeBody(&p); err != nil {
@@ -212,23 +248,31 @@
 
 // request sends a frame and waits for the reply, which carries the same frame number.
 func (x *peerExchange) request(ctx context.Context, l *link.Link, t message.Type, body any) (message.Frame, error) {
-	w := pendingRequest{link: l, reply: make(chan message.Frame, 1)}
-	x.pendingMu.Lock()
-	x.lastRequestNumber++
-	number := x.lastRequestNumber
-	x.pending[number] = w
-	x.pendingMu.Unlock()
-	defer func() {
-		x.pendingMu.Lock()
-		delete(x.pending, number)
-		x.pendingMu.Unlock()
-	}()
-	if err := l.Send(t, number, body); err != nil {
+	w, err := x.send(l, t, body)
+	defer x.forget(w)
+	if err != nil {
 		return message.Frame{}, eris.Wrapf(errPeerNoAnswer, "send %s: %v", t, err)
 	}
 	return w.await(ctx, t)
 }
 
+// send queues the frame of a new request, which the caller passes to forget once it has ended.
+func (x *peerExchange) send(l *link.Link, t message.Type, body any) (pendingRequest, error) {
+	x.pendingMu.Lock()
+	x.lastRequestNumber++
+	w := pendingRequest{number: x.lastRequestNumber, link: l, reply: make(chan message.Frame, 1)}
+	x.pending[w.number] = w
+	x.pendingMu.Unlock()
+	return w, l.Send(t, w.number, body)
+}
+
+// forget drops a request, whose reply is then ignored.
+func (x *peerExchange) forget(w pendingRequest) {
+	x.pendingMu.Lock()
+	defer x.pendingMu.Unlock()
+	delete(x.pending, w.number)
+}
+
 // await waits for the reply. A reply that arrived before the link closed or ctx ended is returned in any case.
 func (w pendingRequest) await(ctx context.Context, t message.Type) (message.Frame, error) {
 	var cause string
@@ -264,17 +308,16 @@
 
 // forward sends a request to the entry that owns the job and returns its reply.
 func (x *peerExchange) forward(ctx context.Context, owner lavendercourse.Incarnation, m message.Forward) (message.Reply, error) {
-	x.mu.Lock()
-	name, _ := x.members.Owner(owner)
-	l := x.peers[name]
-	x.mu.Unlock()
-	if l == nil {
-		return message.Reply{}, eris.Wrapf(errNotSent, "no link to the owner %q", name)
-	}
 	ctx, span := x.cfg.Tracer.StartChild(ctx, trace.SpanKindClient, "forward "+m.Method)
 	defer span.End()
 	m.Trace = telemetry.Traceparent(span)
-	f, err := x.request(ctx, l, message.TypeForward, m)
+	w, err := x.sendForward(owner, m)
+	defer x.forget(w)
+	if err != nil {
+		telemetry.SetError(span, err.Error())
+		return message.Reply{}, err
+	}
+	f, err := w.await(ctx, message.TypeForward)
 	if err != nil {
 		telemetry.SetError(span, err.Error())
 		return message.Reply{}, err
@@ -286,6 +329,26 @@
 	return r, nil
 }
 
+// sendForward queues a request on the link to the owner of the job. Nothing is sent to an entry that leaves: x.mu is held
+// until the frame is queued, so that no request follows the reply to the leave.
+func (x *peerExchange) sendForward(owner lavendercourse.Incarnation, m message.Forward) (pendingRequest, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	name, _ := x.members.Owner(owner)
+	l := x.peers[name]
+	if l == nil {
+		return pendingRequest{}, eris.Wrapf(errNotSent, "no link to the owner %q", name)
+	}
+	if remote, _ := l.Tag().(remoteProcess); remote.leaving {
+		return pendingRequest{}, eris.Wrapf(errNotSent, "the owner %q is leaving", name)
+	}
+	w, err := x.send(l, message.TypeForward, m)
+	if err != nil {
+		return w, eris.Wrapf(errNotSent, "forward to %q: %v", name, err)
+	}
+	return w, nil
+}
+
 // ownerStatus asks the other entries, except the owner itself, whether an incarnation is gone. The owner has just failed to
 // answer and would only delay the result; without its answer it does not count as gone. Known is false if no entry has
 // ever heard of the incarnation.
--- a/entry/link.go
+++ b/entry/link.go
@@ -14,6 +14,8 @@
 type remoteProcess struct {
 	kind message.Kind
 	name string
+	// leaving is set once another entry has announced that it serves no more requests.
+	leaving bool
 }
 
 // linkHandler implements link.Handler for all links of an entry.
--- a/event/event.go
+++ b/event/event.go
@@ -62,6 +62,7 @@
 	AgentLost            = register(301, zerolog.WarnLevel, "agent did not reconnect in time; the outcome of its tasks is unknown")
 	AgentLeaving         = register(302, zerolog.InfoLevel, "agent is leaving")
 	AgentResumed         = register(303, zerolog.InfoLevel, "agent reconnected and was asked about unfinished tasks")
+	LeaveUnanswered      = register(304, zerolog.WarnLevel, "entry did not answer the leave of this entry")
 	JobFailed            = register(310, zerolog.InfoLevel, "job failed")
 	JobRefused           = register(311, zerolog.DebugLevel, "job or call was refused; nothing of it ran")
 	CallFailed           = register(312, zerolog.DebugLevel, "call failed")
--- a/message/body.go
+++ b/message/body.go
@@ -159,7 +159,8 @@
 	Tasks []Task `cbor:"tasks"`
 }
 
-// Leave announces that an agent accepts no more starts.
+// Leave announces that an agent accepts no more starts, or an entry no more forwarded requests. An entry answers the leave
+// of another entry with a reply.
 type Leave struct{}
 
 // Resume asks for the outcomes of unfinished tasks after an agent has reconnected.
