Dial no entry again while its welcome is awaited

Seen in a log of TestRollingRestart, four copies side by side beside busy loops: an entry that had restarted was linked with another one twice within a millisecond, 2.4 s after its start.

Cause: an entry dials each listed entry to which it has no link once a second, and a link counts only once the welcome has arrived. Each end then keeps the last link that it noticed. If these differ, requests go over one link and a leave over the other, and the reply to the leave no longer shows that all requests have arrived.

Change: an address is not dialed while a link to it is open on which the welcome is awaited.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,6 +36,8 @@
 	done        <-chan struct{}
 	// dialFailing holds the addresses whose last dial failed, so that a series of failures is logged once.
 	dialFailing map[string]bool
+	// dialed holds the last link dialed to each address.
+	dialed map[string]*link.Link
 }
 
 // New starts an entry, which runs until Stop or Kill is called.
@@ -60,7 +62,7 @@
 	x.forwardHandler = d
 	e := &Entry{
 		core: c, linkHandler: &linkHandler{core: c, exchange: x}, follower: newLogFollower(c), cancel: cancel,
-		dialFailing: map[string]bool{},
+		dialFailing: map[string]bool{}, dialed: map[string]*link.Link{},
 	}
 	e.callers = &http.Server{
 		Handler: e.callerRoutes(d), ReadHeaderTimeout: 5 * time.Second, Protocols: callerProtocols(),
@@ -213,6 +215,9 @@
 	}
 	c.mu.Unlock()
 	for _, address := range missing {
+		if e.awaitsWelcome(address) {
+			continue
+		}
 		l, err := c.cfg.Dialer.Dial(ctx, address, link.Config{Handler: e.linkHandler, Counters: c.cfg.Counters})
 		if err != nil {
 			if !e.dialFailing[address] && ctx.Err() == nil {
@@ -222,12 +227,29 @@
 			continue
 		}
 		delete(e.dialFailing, address)
+		e.dialed[address] = l
 		if l.Send(message.TypeHello, 0, hello) != nil {
 			l.Close()
 		}
 	}
 }
 
+// awaitsWelcome reports whether a link to the address is open on which the other entry has not answered the hello yet. A
+// second link would not get the answer any sooner, and the two entries could then use different links.
+func (e *Entry) awaitsWelcome(address string) bool {
+	l := e.dialed[address]
+	if l == nil {
+		return false
+	}
+	select {
+	case <-l.Done():
+		delete(e.dialed, address)
+		return false
+	default:
+		return l.Tag() == nil
+	}
+}
+
 // callerProtocols enables HTTP/1.1 and, for gRPC, HTTP/2 without TLS.
 func callerProtocols() *http.Protocols {
 	p := &http.Protocols{}
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -35,6 +35,24 @@
 	return lavendercourse.Page{}, errLogDown
 }
 
+// startEntry starts an entry whose log is down, and whose port for callers is drained when it stops.
+func startEntry(t *testing.T, name string, seeds ...string) *Entry {
+	t.Helper()
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	links, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	policy, err := placement.NewPolicy("")
+	assert.NilError(t, err)
+	e, err := New(Config{
+		Name: name, CallerListener: callers, LinkListener: links, Advertise: links.Addr().String(), SeedAddresses: seeds,
+		Log: unavailableLog{}, Clock: clock.NewSystem(), Policy: policy,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(e.Kill)
+	return e
+}
+
 // slowConn delays each write, so that frames are on their way for some time.
 type slowConn struct{ net.Conn }
 
@@ -102,19 +120,9 @@
 // Guards against closing the links in Stop while submissions that other entries have forwarded are on their way. They
 // would get no reply, and their callers would be told after 10 s that the owner is gone and that the job may have run.
 func TestStopAnswersForwardsInFlight(t *testing.T) {
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	links, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	policy, err := placement.NewPolicy("")
-	assert.NilError(t, err)
-	e, err := New(Config{
-		Name: "a", CallerListener: callers, LinkListener: links, Advertise: links.Addr().String(), Log: unavailableLog{},
-		Clock: clock.NewSystem(), Policy: policy,
-	})
-	assert.NilError(t, err)
+	e := startEntry(t, "a")
 	peer := &forwardingEntry{pending: map[uint64]bool{}}
-	l, err := link.NewDialer(dialSlowly).Dial(t.Context(), links.Addr().String(), link.Config{Handler: peer})
+	l, err := link.NewDialer(dialSlowly).Dial(t.Context(), e.core.cfg.Advertise, link.Config{Handler: peer})
 	assert.NilError(t, err)
 	defer l.Close()
 	assert.NilError(t, l.Send(message.TypeHello, 0, message.Hello{Kind: message.KindEntry, Name: "b", Incarnation: "inc-b"}))
