Replace the id of a job whose first request could not be sent

Seen in the logs of TestRollingRestart, four copies side by side beside four busy loops: 15 submissions under fresh ids ended with "connection refused", since the entries that were dialed were restarting.

Cause: a caller keeps the id of a job once a request with it may have reached an entry. A request that was not sent, because no connection could be opened, counted too. If the owner of the id has stopped meanwhile, the other entries answer that the request did not reach it; the caller asks again with the same id, and is told after 10 s that the owner is gone and that the job may have run, although no entry has ever received it.

Change: after a failed dial the id counts as not sent. A dial error is returned only for requests of which nothing was written: the transport of net/http sends a request again only in that case.

Test: TestSubmitReplacesTheIDAfterFailedDial failed before with the id "id1" submitted twice.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -139,25 +139,29 @@
 // Submit runs a job and waits for its answer. If the request has no id, Submit reserves one. If the answer is lost or
 // leaves the outcome open, Submit resubmits the job with the same id until ctx ends. There are two cases in which an id
 // that Submit reserved itself is replaced by a new one from the next connection: the entry refused the job because it
-// accepts none at present, or the first request with the id did not reach the owner and started nothing.
+// accepts none at present, or the first request with the id that reached an entry did not reach the owner and started
+// nothing.
 func (c *Client) Submit(ctx context.Context, req *dispatchv1.SubmitRequest) (*dispatchv1.SubmitResponse, error) {
 	ctx, span := c.cfg.Tracer.Start(ctx, trace.SpanKindInternal, "caller submit")
 	defer span.End()
 	conn := c.takeConnection(req.GetId())
 	reservedHere := req.GetId() == ""
 	var refusal *dispatchv1.SubmitResponse
-	for firstAttempt := true; ; firstAttempt = false {
+	// sent is set once a request with the id may have reached an entry.
+	for sent := false; ; {
 		if req.GetId() == "" {
 			id, reservedOn, err := c.reserve(ctx, conn)
 			if err != nil {
 				return nil, err
 			}
-			req.Id, conn, firstAttempt = id, reservedOn, true
+			req.Id, conn, sent = id, reservedOn, false
 			if c.cfg.OnIDReserved != nil {
 				c.cfg.OnIDReserved(id)
 			}
 		}
+		firstAttempt := !sent
 		resp, err := conn.client.Submit(ctx, connect.NewRequest(req))
+		sent = sent || !isDialError(err)
 		switch v := verdictOf(resp, err); {
 		case err != nil && connect.CodeOf(err) == connect.CodeInvalidArgument:
 			return nil, convertError(err)
@@ -238,6 +242,12 @@
 	return isUndecided(v) && v.GetRan() == dispatchv1.Ran_RAN_NOTHING
 }
 
+// isDialError reports whether a request was not sent since no connection could be opened.
+func isDialError(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "dial"
+}
+
 // convertError converts an error of the protocol to ErrInvalid or ErrUnreachable.
 func convertError(err error) error {
 	if connect.CodeOf(err) == connect.CodeInvalidArgument {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -85,3 +86,36 @@
 		})
 	}
 }
+
+// Guards against a job that keeps an id whose owner has stopped because its first request could not be sent: the caller
+// would be told that the owner is gone although no entry has ever received the job (promise 8, TestRollingRestart).
+func TestSubmitReplacesTheIDAfterFailedDial(t *testing.T) {
+	f := &fakeEntry{verdicts: []*dispatchv1.Verdict{
+		{Outcome: dispatchv1.Outcome_OUTCOME_UNKNOWN, Reason: dispatchv1.Reason_REASON_AGAIN, Ran: dispatchv1.Ran_RAN_NOTHING},
+		{Outcome: dispatchv1.Outcome_OUTCOME_COMPLETE},
+	}}
+	_, handler := dispatchv1connect.NewDispatchServiceHandler(f)
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	dials := 0
+	dial := func(ctx context.Context, network, _ string) (net.Conn, error) {
+		dials++
+		address := server.Listener.Addr().String()
+		if dials == 2 {
+			// The first dial is for the id, the second for the first submission.
+			address = closed.Addr().String()
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	c := caller.New(caller.Config{
+		Address: "balancer.invalid", BlockSize: 1, RetryDelay: 1,
+		HTTP: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+	})
+	resp, err := c.Submit(t.Context(), &dispatchv1.SubmitRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, resp.GetVerdict().GetOutcome(), dispatchv1.Outcome_OUTCOME_COMPLETE)
+	assert.DeepEqual(t, f.submittedIDs, []string{"id1", "id2"})
+}
