Serve requests that arrive late on connections of a server that stops

What callers saw: in the logs of TestRollingRestart, four copies side by side beside four busy loops, submissions ended with "unexpected EOF", that is, the server closed the connection without an answer while the caller waited. The caller asks again with the same id; if the server that stopped was the owner of the job, it is told after 10 s that the owner is gone. Which of these ends hit an owner was not traced.

Cause: a server that stops waited 150 ms for requests on the connections that it had accepted. http.Server drops each request that it reads after Shutdown was called, so a caller that was connected and sent its request later lost it, which a busy machine makes likely.

Change: the server waits until no request is on its way, for at most its time-out for the headers of a request (entry 5 s, gateway 3 s): after that time it closes a connection without a request in any case.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -18,9 +18,6 @@
 	lastAcceptTimeout = 2 * clock.Millis(1)
 	// drainTimeout is the maximum time in ms to wait for a drain. It is reached if nothing calls Accept any more.
 	drainTimeout = clock.Second
-	// requestTimeout is the time in ms, after the drain of the listener, for requests to arrive on their connections
-	// and to be answered.
-	requestTimeout = 150 * clock.Millis(1)
 	// pollPeriod is the time in ms between two checks for active connections.
 	pollPeriod = 2 * clock.Millis(1)
 )
@@ -119,9 +116,18 @@
 	if d, ok := l.(*DrainListener); ok {
 		d.Drain()
 		s.SetKeepAlivesEnabled(false)
-		for deadline := time.Now().Add(requestTimeout.Duration()); !d.isIdle() && time.Now().Before(deadline) && ctx.Err() == nil; {
+		for deadline := time.Now().Add(requestTimeout(s)); !d.isIdle() && time.Now().Before(deadline) && ctx.Err() == nil; {
 			Sleep(ctx, pollPeriod)
 		}
 	}
 	return s.Shutdown(ctx)
 }
+
+// requestTimeout returns the time for requests to arrive on connections that are established when a server shuts down.
+// The server itself closes a connection on which no request has arrived by then.
+func requestTimeout(s *http.Server) time.Duration {
+	if s.ReadHeaderTimeout > 0 {
+		return s.ReadHeaderTimeout
+	}
+	return headerTimeout.Duration()
+}
