Establish the connections before the drain in TestDrainServesUnacceptedConnections

Seen: failed once in 2 runs with the race detector on a busy machine, with "connection refused".

Cause: the test slept for 50 ms to let 20 callers connect. A caller that is slower dials after the listener was closed, which is refused by right: the test is about connections that were established before.

Change: the test waits until all 20 are connected. It is as strict: all of them must be answered, and a dial after the drain must be refused.

Run: package daemon with the race detector, 6 times.

--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,16 +24,25 @@
 	assert.NilError(t, err)
 	d := daemon.NewDrainListener(l)
 	address := "http://" + l.Addr().String()
+	const callers = 20
+	var established atomic.Int64
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		established.Add(1)
+		return conn, err
+	}
 	var wg sync.WaitGroup
-	for range 20 {
+	for range callers {
 		wg.Go(func() {
-			resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Get(address)
+			resp, err := (&http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}).Get(address)
 			if assert.Check(t, err) {
 				assert.Check(t, resp.Body.Close())
 			}
 		})
 	}
-	time.Sleep(50 * time.Millisecond)
+	for established.Load() < callers {
+		time.Sleep(time.Millisecond)
+	}
 	s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	service := daemon.NewHTTPService("callers", s, d)
 	ctx, cancel := context.WithCancel(t.Context())
