Let jobs of a contained queue wait for 1 s at most for the workers set aside for it

Such a job may now reserve any worker after 1 s, within the limit for busy ones; one that has not begun is refused by then, since it cannot be served in time.

--- a/queue/config.go
+++ b/queue/config.go
@@ -60,8 +60,9 @@
 	busyIsolationDivisor = 20
 	idleIsolationDivisor = 4
 	// maxContainedIdle is the time in ms after which a job of a contained queue that has begun, and of which nothing runs, may
-	// use an idle worker that is not set aside for the queue. The users allow 3 s beside idle workers.
-	maxContainedIdle = 2 * clock.Second
+	// use a worker that is not set aside for the queue, and after which one that has not begun is refused. The users allow 3 s
+	// while workers have room, and the other runs on the worker have to end first.
+	maxContainedIdle = clock.Second
 	// failingPercent is the share of failed runs from which a runner counts as failing.
 	failingPercent = 40
 )
--- a/queue/isolate.go
+++ b/queue/isolate.go
@@ -80,8 +80,7 @@
 			s.drained[r.enrollment.Domain] || !r.serves(t.job.queue.Service, step) {
 			continue
 		}
-		idle := r.load() == 0
-		if !idle && !busyAllowed || !s.allows(t.job.queue, r) && !(overdue && idle) {
+		if !busyAllowed && r.load() > 0 || !overdue && !s.allows(t.job.queue, r) {
 			continue
 		}
 		if best == nil || s.betterForIsolation(r, best, t) {
