Judge crashes once a common cause would be known

A verdict now waits for 30 ms after the last crash; the task is not started meanwhile. The harness of queue lets this time pass after each crash.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -273,6 +273,12 @@
 	return l.lostWorkers(t) >= maxCrashes || l.startsAtLimit[t] >= maxCrashes-crashLimit
 }
 
+// Settled reports whether the causes of the task's crashes are known: workers that crash for a common cause are reported
+// within commonCauseWindow of each other.
+func (l *Ledger) Settled(now clock.Millis, t Task) bool {
+	return !slices.ContainsFunc(l.byTask[t], func(c *crash) bool { return now-c.at <= commonCauseWindow })
+}
+
 // NeedsIsolation reports whether the task has to be the only one on its worker, so that the next crash shows whether it is
 // responsible. Tasks that share their workers meet the crashes of a bad one among them together, again and again.
 func (l *Ledger) NeedsIsolation(t Task) bool {
--- a/queue/crash.go
+++ b/queue/crash.go
@@ -53,6 +53,19 @@
 	}
 }
 
+// judgeSuspects judges the tasks that wait again since a crash whose cause was not settled then.
+func (s *Scheduler) judgeSuspects(actions []Action, now clock.Millis) []Action {
+	if s.ledger.Empty() {
+		return actions
+	}
+	for _, j := range append([]*Job(nil), s.waiting...) {
+		for _, t := range j.tasks {
+			actions = s.giveUpCrashingTask(actions, now, t)
+		}
+	}
+	return actions
+}
+
 // knowsCause reports whether a job or a crash has counted against a queue.
 func (s *Scheduler) knowsCause(q route.Queue, cause string) bool {
 	return s.containment(q.Service).Knows(q.Name, cause)
@@ -78,6 +91,9 @@
 	}
 	log := LogCrashingTask{Job: t.job, Step: t.step, Task: t.index, Crashes: s.ledger.Participations(key), Responsible: s.ledger.Responsible(key)}
 	switch {
+	case log.Responsible && !s.ledger.Settled(now, key):
+		// The next tick judges it.
+		return actions
 	case log.Responsible:
 	case s.ledger.Exhausted(key):
 		return s.endJob(append(actions, log), now, t.job, lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeExhausted})
--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -395,11 +395,15 @@
 		}
 		if i == 0 {
 			h.crash(name, sent[0].run)
-			h.endRun(sent[0], lavendercourse.EndCrashed, capacity)
+			h.perform(h.scheduler.HandleEnds(h.now, name, message.Ended{
+				Report: h.loadReport(name, capacity), Ends: []message.RunEnd{{Run: sent[0].run, Kind: lavendercourse.EndCrashed}},
+			}))
 			continue
 		}
 		h.crash(name, lavendercourse.RunID{Job: "other", Task: i, Run: 1})
 	}
+	h.now += settleTime
+	h.perform(h.scheduler.Tick(h.now))
 	a := h.answers["innocent"]
 	assert.Assert(t, a.Result != lavendercourse.JobFailed, a.Cause)
 }
--- a/queue/isolate.go
+++ b/queue/isolate.go
@@ -39,6 +39,9 @@
 			others = append(others, t)
 			continue
 		}
+		if t.suspect && s.ledger.Responsible(t.quarantineKey()) {
+			continue
+		}
 		if r := s.chooseIsolationRunner(now, t); r != nil {
 			actions = append(actions, s.orderIsolated(now, t, r))
 		}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -464,13 +464,14 @@
 	}
 	s.updatePartitions()
 	s.ledger.Expire(now)
+	actions = s.judgeSuspects(actions, now)
 	work := int64(0)
 	for _, j := range append([]*Job(nil), s.waiting...) {
 		switch {
 		case j.mayHaveRun():
 			// A job that may have run must not be refused.
 		case s.contains(j.queue):
-			if !s.containedJobFits(now, j) {
+			if !s.containedJobFits(now, j) || now-j.arrived >= maxContainedIdle {
 				actions = s.endJob(actions, now, j, refusal(causeContained, containedRetryDelay))
 			}
 			continue
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -16,6 +16,9 @@
 
 const service = "press"
 
+// settleTime is the time in ms after a crash from which on its cause is judged.
+const settleTime = 31 * clock.Millis(1)
+
 var (
 	capacity  = lavendercourse.Resources{CPU: 32000, Memory: 65536}
 	need      = lavendercourse.Resources{CPU: 3000, Memory: 64}
@@ -101,6 +104,10 @@
 	h.perform(h.scheduler.HandleEnds(h.now, s.runner, message.Ended{
 		Report: h.loadReport(s.runner, free), Ends: []message.RunEnd{{Run: s.run, Kind: kind}},
 	}))
+	if kind == lavendercourse.EndCrashed {
+		h.now += settleTime
+		h.perform(h.scheduler.Tick(h.now))
+	}
 }
 
 // crash plays the end of the process of a worker that had the given runs.
