Remove old counts of starts, and reword comments

Counts of starts of tasks whose worker ends were never reported stayed for good; they are removed once a second.

--- a/message/frame.go
+++ b/message/frame.go
@@ -59,8 +59,7 @@
 	TypeRecords   Type = 27
 	TypeCrash     Type = 28
 	TypeVerdict   Type = 29
-	// TypeIsolatedOrder has the body of TypeOrder. It is a type of its own so that runners of earlier versions, which
-	// would not isolate the run, ignore it.
+	// TypeIsolatedOrder has the body of TypeOrder. Its runs have to be the only ones on the worker.
 	TypeIsolatedOrder Type = 30
 )
 
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -49,6 +49,8 @@
 	maxTasks      = 256
 	// maxEnds bounds the number of tasks whose ends are counted.
 	maxEnds = 65536
+	// sweepPeriod, in ms, is the time between two removals of old counts.
+	sweepPeriod = clock.Second
 	// commonCauseWindow, in ms, is the time within which the crashes of many workers have a common cause, such as a loss of
 	// power. commonCauseDivisor and minCommonCause define many: a part of all workers, but at least so many.
 	commonCauseWindow  = 30 * clock.Millis(1)
@@ -110,6 +112,8 @@
 	startsAtLimit map[Task]int
 	// ends counts the ends of workers under each task that its runs have shown, whether or not they were crashes.
 	ends map[Task]endCount
+	// sweptAt is the time in ms at which old counts were last removed.
+	sweptAt clock.Millis
 }
 
 // endCount is a number of ends, and the time in ms of the last one.
@@ -195,7 +199,12 @@
 	for len(l.crashes) > 0 && now-l.crashes[0].at >= retention {
 		l.forgetOldest()
 	}
+	if now-l.sweptAt < sweepPeriod {
+		return
+	}
+	l.sweptAt = now
 	maps.DeleteFunc(l.ends, func(_ Task, e endCount) bool { return now-e.last >= retention })
+	maps.DeleteFunc(l.startsAtLimit, func(t Task, _ int) bool { return l.lostWorkers(t) == 0 })
 }
 
 // makeRoom forgets the oldest crashes beyond maxRemembered.
@@ -213,7 +222,6 @@
 		l.byTask[s.Task] = slices.DeleteFunc(l.byTask[s.Task], func(other *crash) bool { return other == c })
 		if len(l.byTask[s.Task]) == 0 {
 			delete(l.byTask, s.Task)
-			delete(l.startsAtLimit, s.Task)
 		}
 	}
 }
@@ -230,7 +238,7 @@
 	// Age is the time in ms since the run of the task was ordered, and Suspects the number of runs that the worker had.
 	Age      clock.Millis
 	Suspects int
-	// Explained is set if a cause is known that holds none of the other tasks responsible.
+	// Explained is set if another cause is known: a task that is responsible, or a common cause.
 	Explained bool
 }
 
--- a/queue/isolate.go
+++ b/queue/isolate.go
@@ -39,6 +39,7 @@
 			others = append(others, t)
 			continue
 		}
+		// A responsible task waits for its verdict, see giveUpCrashingTask.
 		if t.suspect && s.ledger.Responsible(t.quarantineKey()) {
 			continue
 		}
@@ -94,8 +95,8 @@
 }
 
 // betterForIsolation tells whether r is preferred to other for an isolated run of the task. The criteria are, in this
-// order: it can isolate runs; its worker has not crashed under the task, since each further worker is more evidence; its worker has crashed less
-// often for unknown reasons; fewer runs have to end first; a hash.
+// order: it can isolate runs; its worker has not crashed under the task, since each further worker is more evidence; its
+// worker has crashed less often for unknown reasons; fewer runs have to end first; a hash.
 func (s *Scheduler) betterForIsolation(r, other *Runner, t *task) bool {
 	key := t.quarantineKey()
 	if a, b := r.enrollment.Isolates, other.enrollment.Isolates; a != b {
