Let begun jobs of a contained queue use other workers after 1.5 s in place of 1 s

Callers there wait for 1.5 to 2 s, so bad tasks of the contained queue took other workers down meanwhile.

--- a/queue/config.go
+++ b/queue/config.go
@@ -62,7 +62,7 @@
 	// maxContainedIdle is the time in ms after which a job of a contained queue that has begun, and of which nothing runs, may
 	// use a worker that is not set aside for the queue, and after which one that has not begun is refused. The users allow 3 s
 	// while workers have room, and the other runs on the worker have to end first.
-	maxContainedIdle = clock.Second
+	maxContainedIdle = 1500 * clock.Millis(1)
 	// failingPercent is the share of failed runs from which a runner counts as failing.
 	failingPercent = 40
 )
