Add a case of a cancelled job that starts again at another gateway

Cause: a gateway keeps the end of a job for itself, so a repeated submission that reaches another gateway is a new job there.

The case cancels jobs and repeats each submission at the other gateway 4 s after its 2xx response.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,6 +20,7 @@
 type play func(r *record, trouble bool) ([]string, error)
 
 var plays = map[string]play{
+	"cancel": playCancel,
 	"kind":   playKind,
 	"silent": playSilent,
 	"cutoff": playCutoff,
