Order the cases of the review, and play silent connections for longer

The gravest case comes first. Case 2 now goes on for 30 s after the configuration, so that it shows when the gateways have read it.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 the disruption is left out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/lavendercourse ] && [ -x target/rig ] || exit 2
-exec target/rig cancel review/2/record.txt
+exec target/rig silent review/2/record.txt
--- a/review/rig/silent.go
+++ b/review/rig/silent.go
@@ -47,7 +47,7 @@
 	}
 	var broken []string
 	next := 0
-	for time.Since(acked) < 15*time.Second {
+	for time.Since(acked) < 30*time.Second {
 		for _, g := range s.gateways {
 			next += 2
 			sent := time.Now()
