Give the review's rig a store and ports of its own

The rig now has a small store. Scripts side by side took each other's ports in two starts; each process of the rig now has its own loopback address, and ports below those that the kernel gives out.

--- a/review/rig/cutoff.go
+++ b/review/rig/cutoff.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// playCutoff cuts a gateway off for some seconds. The clients whose jobs it had give up at their time limit, reset their
-// channels, which the cut swallows, and send the jobs again to another gateway. TWICE is broken if two runs of one task
-// overlap.
+// playCutoff cuts a gateway off from its clients, its runners and the store for some seconds. The clients whose jobs it had
+// give up at their time limit, reset their channels, which the cut swallows, and send the jobs again to another gateway.
+// TWICE is broken if two runs of one task overlap.
 func playCutoff(r *record, trouble bool) ([]string, error) {
 	const (
 		timeLimit = 1500 * time.Millisecond
--- a/review/rig/proxy.go
+++ b/review/rig/proxy.go
@@ -25,7 +25,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -17,8 +17,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/lavendercourse/lavendercourse/standin/fleet"
 )
 
 const (
@@ -59,7 +57,7 @@
 type site struct {
 	record  *record
 	log     *runLog
-	store   *fleet.Store
+	store   *store
 	dir     string
 	servers []*http.Server
 
@@ -110,16 +108,31 @@
 	return strings.Join(lines, ""), nil
 }
 
+// loopback returns an address of the loopback range for this process, so that cases side by side, and the local ports of
+// outgoing connections, do not take the ports of a case.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>14%200, pid>>7%128, 1+pid%128)
+}
+
+// firstPort is the first port of the processes and workers. Ports from here on are below those that the kernel gives to
+// proxies and outgoing connections.
+const firstPort = 20000
+
 // freeAddresses returns n free addresses of the loopback interface.
 func freeAddresses(n int) ([]string, error) {
 	var all []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for port := firstPort; len(all) < n; port++ {
+		if port == firstPort+1000 {
+			return nil, errors.New("too few free ports")
+		}
+		address := fmt.Sprintf("%s:%d", loopback(), port)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer func() { _ = l.Close() }()
-		all = append(all, l.Addr().String())
+		_ = l.Close()
+		all = append(all, address)
 	}
 	return all, nil
 }
@@ -129,12 +142,12 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{record: r, log: newRunLog(r), store: fleet.NewStore(), dir: dir}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s := &site{record: r, log: newRunLog(r), store: newStore(), dir: dir}
+	l, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: s.store.Handler()}
+	server := &http.Server{Handler: s.store.handler()}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
 	addresses, err := freeAddresses(4*cfg.gateways + 3*len(cfg.kinds))
@@ -292,7 +305,7 @@
 		})
 	}
 	b, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": service}}})
-	s.store.Put("keyed.op", "config", string(b))
+	s.store.put("keyed.op", "config", b)
 	s.record.printf("operator: configuration %d with %v is acknowledged", version, prefixes)
 	return time.Now()
 }
