--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -137,22 +137,31 @@
 	return all, nil
 }
 
+// newSite starts the stand-ins and processes of a deployment. If that fails, it ends those that it has started.
 func newSite(cfg siteConfig, r *record) (*site, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
 	s := &site{record: r, log: newRunLog(r), store: newStore(), dir: dir}
+	if err := s.setUp(cfg); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *site) setUp(cfg siteConfig) error {
 	l, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	server := &http.Server{Handler: s.store.handler()}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
 	addresses, err := freeAddresses(4*cfg.gateways + 3*len(cfg.kinds))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	take := func() string {
 		a := addresses[0]
@@ -178,7 +187,7 @@
 	if cfg.cutProxies {
 		p, err := newProxy(links[0])
 		if err != nil {
-			return nil, err
+			return err
 		}
 		s.cutProxies = append(s.cutProxies, p)
 		advertised[0] = p.address()
@@ -189,16 +198,16 @@
 		p := &process{name: fmt.Sprintf("gateway-%d", i+1), callers: take(), ready: take(), zone: zone, advertise: advertised[i]}
 		store, err := storeAddress()
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if cfg.cutProxies && i == 0 {
 			toStore, err := newProxy(store)
 			if err != nil {
-				return nil, err
+				return err
 			}
 			fromClients, err := newProxy(p.callers)
 			if err != nil {
-				return nil, err
+				return err
 			}
 			s.cutProxies = append(s.cutProxies, toStore, fromClients)
 			store = toStore.address()
@@ -207,7 +216,7 @@
 			"region": "gh-south", "zone": zone, "nodeName": p.name, "listen.frontendAddr": p.callers, "listen.readinessAddr": p.ready,
 			"listen.control": link, "seeds": strings.Join(seeds, ","), "platform.address": store, "limits.memoryMb": "284",
 		}); err != nil {
-			return nil, err
+			return err
 		}
 		if cfg.cutProxies && i == 0 {
 			p.callers = s.cutProxies[2].address()
@@ -220,24 +229,24 @@
 		app := take()
 		store, err := storeAddress()
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if err := s.start(p, "runner", map[string]string{
 			"region": "gh-south", "zone": zone, "nodeName": p.name, "app": app, "listen.control": p.reports,
 			"seeds": strings.Join(seeds, ","), "platform.address": store, "limits.memoryMb": "152",
 		}); err != nil {
-			return nil, err
+			return err
 		}
 		s.runners = append(s.runners, p)
 		w, err := startWorker(workerConfig{
-			id: fmt.Sprintf("i-%08d", i+1), service: service, zone: zone, reports: p.reports, record: r, log: s.log,
+			id: fmt.Sprintf("i-%08d", i+1), service: service, zone: zone, reports: p.reports, record: s.record, log: s.log,
 		}, k, app)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		s.workers = append(s.workers, w)
 	}
-	return s, nil
+	return nil
 }
 
 // start writes the settings of a process and starts it with the command of the deploy file.
