Bring the review's stand-ins closer to the users' pages

Workers give the start of their life only in heartbeats and lists of runs, refuse only runs that are not higher than one stopped or ended, and name their address; configurations have all fields of the pages. The record tells what was sent, too.

--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -309,11 +309,18 @@
 	routes := []map[string]any{}
 	for i, prefix := range prefixes {
 		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("q%d", i+1), "host": host, "pathPrefix": prefix, "service": service, "priority": 0, "maxAttempts": 3,
-			"slackFactor": 1.6, "targetLatencyMs": 60,
+			"name": fmt.Sprintf("q%d", i+1), "host": host, "pathPrefix": prefix, "kind": "non_idempotent", "timeoutMs": 1500,
+			"targetLatencyMs": 60, "priority": 0, "service": service, "maxAttempts": 4, "slackFactor": 1.6,
 		})
 	}
-	b, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": service}}})
+	b, _ := json.Marshal(map[string]any{
+		"version": version, "routes": routes,
+		"services": []any{map[string]any{
+			"name": service, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0,
+			"enforcesCapacity": false, "standby": false,
+		}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
 	s.store.put("keyed.op", "config", b)
 	s.record.printf("operator: configuration %d with %v is acknowledged", version, prefixes)
 	return time.Now()
@@ -376,6 +383,7 @@
 	if s.clientsReset {
 		t.DialContext = dialReset
 	}
+	s.record.printf("%s %s is sent to %s: %s", method, path, address, body)
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return 0, err
@@ -385,7 +393,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s.record.printf("%s %s at %s: %d %s", method, path, address, resp.StatusCode, strings.TrimSpace(string(answer)))
+	s.record.printf("%s %s is answered by %s: %d %s", method, path, address, resp.StatusCode, strings.TrimSpace(string(answer)))
 	return resp.StatusCode, nil
 }
 
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -40,6 +40,11 @@
 	log     *runLog
 }
 
+type runKey struct {
+	task string
+	run  int
+}
+
 type workerRun struct {
 	task   string
 	run    int
@@ -60,7 +65,8 @@
 	mu       sync.Mutex
 	token    int64
 	leaseEnd int64
-	running  map[string]*workerRun
+	running  map[runKey]*workerRun
+	// highest holds the highest run of each task that was stopped or has ended.
 	highest  map[string]int
 	ended    [][]any
 	lastEnd  int
@@ -76,7 +82,7 @@
 		return nil, err
 	}
 	w := &worker{
-		cfg: cfg, kind: k, born: time.Now(), done: make(chan struct{}), running: map[string]*workerRun{},
+		cfg: cfg, kind: k, born: time.Now(), done: make(chan struct{}), running: map[runKey]*workerRun{},
 		highest: map[string]int{}, state: "ready",
 	}
 	mux := http.NewServeMux()
@@ -111,7 +117,7 @@
 	for _, r := range w.running {
 		w.cfg.log.end(r.task, r.run, w.cfg.id, "crashed")
 	}
-	w.running = map[string]*workerRun{}
+	w.running = map[runKey]*workerRun{}
 	w.mu.Unlock()
 	_ = w.server.Close()
 	w.cfg.record.printf("worker %s: crashed", w.cfg.id)
@@ -147,7 +153,7 @@
 
 // endRun lists the end of a run. The caller holds w.mu.
 func (w *worker) endRun(r *workerRun, how string) {
-	delete(w.running, r.task)
+	delete(w.running, runKey{r.task, r.run})
 	w.lastEnd++
 	w.ended = append(w.ended, []any{w.lastEnd, r.task, r.run, how, ""})
 	w.highest[r.task] = max(w.highest[r.task], r.run)
@@ -172,7 +178,7 @@
 	w.mu.Lock()
 	w.sequence++
 	body, _ := json.Marshal(map[string]any{
-		"service": w.cfg.service, "address": "", "zone": w.cfg.zone, "version": "v1", "slots": 8, "state": w.state,
+		"service": w.cfg.service, "address": w.server.Addr, "zone": w.cfg.zone, "version": "v1", "slots": 8, "state": w.state,
 		"coldRemainingMs": 0, "capacity": map[string]int{"cpu": w.kind.cpu, "memMb": 65536, "gpu": 0},
 		"labels": w.kind.labels, "clockMs": w.clockMs(), "seq": w.sequence, "born": w.born.UnixMilli(),
 	})
@@ -213,7 +219,7 @@
 		if answer == nil {
 			answer = map[string]any{}
 		}
-		answer["clockMs"], answer["born"] = w.clockMs(), w.born.UnixMilli()
+		answer["clockMs"] = w.clockMs()
 		rw.Header().Set("Content-Type", "application/json")
 		rw.WriteHeader(status)
 		_ = json.NewEncoder(rw).Encode(answer)
@@ -236,20 +242,19 @@
 func (w *worker) serveStart(c workerCall) (string, map[string]any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	switch r := w.running[c.Task]; {
+	switch {
 	case w.closed || w.fenced(c):
 		return "fence", nil
-	case r != nil && r.run == c.Run:
+	case w.running[runKey{c.Task, c.Run}] != nil:
 		return "", nil
-	case c.Run <= w.highest[c.Task] || r != nil:
+	case c.Run <= w.highest[c.Task]:
 		w.extend(c.Until)
 		return "old", nil
 	case w.clockMs() > c.Until:
 		return "late", nil
 	}
 	w.extend(c.Until)
-	w.running[c.Task] = &workerRun{task: c.Task, run: c.Run, began: time.Now(), length: lengthOf(c.Spec)}
-	w.highest[c.Task] = c.Run
+	w.running[runKey{c.Task, c.Run}] = &workerRun{task: c.Task, run: c.Run, began: time.Now(), length: lengthOf(c.Spec)}
 	w.cfg.log.start(c.Task, c.Run, w.cfg.id, w.kind.labels, c.Spec)
 	return "", nil
 }
@@ -261,7 +266,7 @@
 		return "fence", nil
 	}
 	w.highest[c.Task] = max(w.highest[c.Task], c.Run)
-	if r := w.running[c.Task]; r != nil && r.run <= c.Run && r.stopAt.IsZero() {
+	if r := w.running[runKey{c.Task, c.Run}]; r != nil && r.stopAt.IsZero() {
 		r.stopAt = time.Now().Add(stopTime)
 	}
 	return "", nil
@@ -290,7 +295,7 @@
 		running = append(running, []any{r.task, r.run, "", percent, 0})
 	}
 	ended := append([][]any{}, w.ended...)
-	return "", map[string]any{"running": running, "ended": ended[:min(len(ended), listedEnds)]}
+	return "", map[string]any{"born": w.born.UnixMilli(), "running": running, "ended": ended[:min(len(ended), listedEnds)]}
 }
 
 // lengthOf returns the run time in a spec such as "badge 900".
