End a job at the time limit of its callers

Cause: a gateway ended a job for its caller only when it saw the connection end, and a cut swallows that. The time limit that the caller had sent only served to refuse jobs that cannot have run; Scheduler.Tick passed over all others, and Dispatch ordered their tasks.

Fix: a job ends when the time limit of its last caller has passed, its runs are recalled, and nothing is ordered for it between a suspension and the next tick. Callers come back 1.3 s later at the earliest, and the leases end a run that misses its recall within 1 s. A caller that joins a job extends the limit.

--- a/queue/job.go
+++ b/queue/job.go
@@ -70,8 +70,8 @@
 	// remaining counts, for each step, the tasks that have not completed.
 	remaining []int
 	arrived   clock.Millis
-	// due is the time by which the job should end. callerDeadline is the time at which its caller gives up; 0 means not
-	// known.
+	// due is the time by which the job should end. callerDeadline is the time at which the last of its callers gives up; 0
+	// means not known.
 	due            clock.Millis
 	callerDeadline clock.Millis
 	// criticalPath is the estimated run time in ms of the longest chain of dependent steps. latestStart is the latest
@@ -142,12 +142,18 @@
 	j.waiting = len(j.tasks)
 	j.due = now + clock.Millis(q.SlackFactor*float64(j.criticalPath)) + q.TargetLatency
 	j.latestStart = max(j.due-j.criticalPath-j.criticalPath*estimateMarginPercent/100, now)
-	if s.CallerTimeout > 0 {
-		j.callerDeadline = now + s.CallerTimeout
-	}
+	j.callerDeadline = deadlineOf(now, s)
 	return j, ""
 }
 
+// deadlineOf returns the time at which the caller of a submission gives up, or 0 if that is not known.
+func deadlineOf(now clock.Millis, s lavendercourse.Submission) clock.Millis {
+	if s.CallerTimeout <= 0 {
+		return 0
+	}
+	return now + s.CallerTimeout
+}
+
 // digestOf returns a hash of the content of a submission, which tells a repeated submission from another job with the
 // same id.
 func digestOf(s lavendercourse.Submission) uint64 {
@@ -170,6 +176,23 @@
 // Due returns the time in ms by which the job should end.
 func (j *Job) Due() clock.Millis { return j.due }
 
+// addCaller adds a caller that has submitted the job again.
+func (j *Job) addCaller(now clock.Millis, s lavendercourse.Submission) {
+	j.callers++
+	deadline := deadlineOf(now, s)
+	if j.callerDeadline == 0 || deadline == 0 {
+		j.callerDeadline = 0
+		return
+	}
+	j.callerDeadline = max(j.callerDeadline, deadline)
+}
+
+// callersGaveUp tells whether the time limits of all callers have passed. They may submit the job to another entry from
+// then on.
+func (j *Job) callersGaveUp(now clock.Millis) bool {
+	return j.callerDeadline > 0 && now >= j.callerDeadline
+}
+
 // Tasks returns the number of tasks.
 func (j *Job) Tasks() int { return len(j.tasks) }
 
--- a/queue/place.go
+++ b/queue/place.go
@@ -21,7 +21,8 @@
 	var actions []Action
 	kept := s.waiting[:0]
 	for _, j := range s.waiting {
-		if j.minCPU <= largestFreeCPU || s.hasIsolatedTask(now, j) {
+		// The next tick ends a job whose callers have given up. An entry that was suspended may get here before it.
+		if !j.callersGaveUp(now) && (j.minCPU <= largestFreeCPU || s.hasIsolatedTask(now, j)) {
 			before := j.waiting
 			actions = s.placeJob(actions, now, j, available)
 			if j.waiting != before {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -24,6 +24,7 @@
 	causeStopping   = "entry is stopping"
 	causeCancelled  = "job was cancelled"
 	causeCallerGone = "caller is gone"
+	causeTimeLimit  = "the time limit of the caller has passed"
 )
 
 // endedJob is what is kept of an ended job until it expires, in case its caller submits it again.
@@ -147,7 +148,7 @@
 // caller gets the same answer again, unless the job ended without a result.
 func (s *Scheduler) Submit(now clock.Millis, submission lavendercourse.Submission, q route.Queue, id string) (*Job, lavendercourse.JobAnswer, []Action) {
 	if j := s.jobs[q.Host+q.PathPrefix+id]; j != nil {
-		j.callers++
+		j.addCaller(now, submission)
 		return j, lavendercourse.JobAnswer{}, nil
 	}
 	if unsupported := unsupportedFeatures(submission, q); len(unsupported) > 0 {
@@ -449,8 +450,8 @@
 	}
 }
 
-// Tick handles the passing of time: it expires the runs of silent runners, refuses waiting jobs that cannot end before
-// their callers give up, and dispatches waiting tasks.
+// Tick handles the passing of time: it expires the runs of silent runners, ends the jobs whose callers have given up,
+// refuses waiting jobs that cannot end before that, and dispatches waiting tasks.
 func (s *Scheduler) Tick(now clock.Millis) []Action {
 	var actions []Action
 	for _, r := range s.sortedRunners {
@@ -459,6 +460,7 @@
 			actions = s.requeueAll(actions, now, r)
 		}
 	}
+	actions = s.endAbandonedJobs(actions, now)
 	for _, c := range s.containments {
 		c.Tick(now)
 	}
@@ -487,27 +489,39 @@
 	return append(actions, s.Dispatch(now)...)
 }
 
-// Interrupt ends the jobs that are left when an entry stops. Jobs that cannot have run are refused, the others are
-// interrupted. The callers may submit them to another entry.
-func (s *Scheduler) Interrupt(now clock.Millis) []Action {
-	var actions []Action
-	for _, j := range s.sortedJobs() {
-		a := lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeStopping}
-		if !j.mayHaveRun() {
-			a = refusal(causeStopping, MinCallerRetryDelay)
+// endAbandonedJobs ends the jobs whose callers have given up, and recalls their runs. The entry need not notice that a
+// caller leaves: a cut may swallow the end of its connection.
+func (s *Scheduler) endAbandonedJobs(actions []Action, now clock.Millis) []Action {
+	var abandoned []*Job
+	for _, j := range s.jobs {
+		if j.callersGaveUp(now) {
+			abandoned = append(abandoned, j)
 		}
-		actions = s.endJob(actions, now, j, a)
 	}
-	return actions
+	return s.interrupt(actions, now, abandoned, causeTimeLimit)
 }
 
-func (s *Scheduler) sortedJobs() []*Job {
+// Interrupt ends the jobs that are left when an entry stops. Jobs that cannot have run are refused, the others are
+// interrupted. The callers may submit them to another entry.
+func (s *Scheduler) Interrupt(now clock.Millis) []Action {
 	all := make([]*Job, 0, len(s.jobs))
 	for _, j := range s.jobs {
 		all = append(all, j)
 	}
-	sort.Slice(all, func(a, b int) bool { return all[a].key < all[b].key })
-	return all
+	return s.interrupt(nil, now, all, causeStopping)
+}
+
+// interrupt ends jobs in the order of their keys, with the given cause. Jobs that cannot have run are refused.
+func (s *Scheduler) interrupt(actions []Action, now clock.Millis, jobs []*Job, cause string) []Action {
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].key < jobs[b].key })
+	for _, j := range jobs {
+		a := lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: cause}
+		if !j.mayHaveRun() {
+			a = refusal(cause, MinCallerRetryDelay)
+		}
+		actions = s.endJob(actions, now, j, a)
+	}
+	return actions
 }
 
 func sortedTasks(set map[*task]bool) []*task {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -36,6 +36,7 @@
 	// lostOrders counts the actions returned with a refused submission, which an entry drops.
 	lostOrders int
 	verdicts   []message.Verdict
+	recalled   []lavendercourse.RunID
 	// crashed counts the crashes of workers.
 	crashed int64
 	// silent names the runners of LogSilentRunner actions.
@@ -78,6 +79,8 @@
 			for _, id := range a.Order.Runs {
 				h.sent = append(h.sent, sentRun{a.Runner, id, a.Isolated})
 			}
+		case queue.SendRecall:
+			h.recalled = append(h.recalled, a.Recall.Runs...)
 		case queue.LogSilentRunner:
 			h.silent = append(h.silent, a.Runner)
 		case queue.ShareVerdict:
@@ -511,3 +514,80 @@
 		assert.Assert(t, again != nil, "a job that ended without a result runs again")
 	})
 }
+
+// Guards against runs of a job whose caller has given up at its time limit and submitted the job to another entry, which
+// runs it. The entry does not see the caller leave if a cut has swallowed the end of the connection.
+func TestNothingRunsAfterTimeLimitOfCaller(t *testing.T) {
+	const timeLimit = 1500 * clock.Millis(1)
+	for _, c := range []struct {
+		name string
+		// before plays what happens until the time limit, after is the first event from then on.
+		before, after func(h *harness)
+		recalled      int
+	}{
+		{
+			"waits after a lost run, order at a report before the next tick",
+			func(h *harness) { h.endRun(h.takeOrders()[0], lavendercourse.EndLost, lavendercourse.Resources{}) },
+			func(h *harness) { h.report("r1", capacity) },
+			0,
+		},
+		{
+			"waits after a lost run, runner links up again",
+			func(h *harness) {
+				h.endRun(h.takeOrders()[0], lavendercourse.EndLost, lavendercourse.Resources{})
+				h.scheduler.Unlinked("r1")
+			},
+			func(h *harness) { h.enroll("r1", "d1") },
+			0,
+		},
+		{
+			"runs",
+			func(h *harness) { h.takeOrders() },
+			func(h *harness) { h.perform(h.scheduler.Tick(h.now)) },
+			1,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness("d1")
+			h.enroll("r1", "d1")
+			h.submit("a", 1, 1200, timeLimit)
+			c.before(h)
+			h.now += timeLimit
+			c.after(h)
+			h.perform(h.scheduler.Tick(h.now))
+			assert.Equal(t, len(h.takeOrders()), 0)
+			assert.Equal(t, len(h.recalled), c.recalled)
+			assert.Equal(t, h.answers["a"].Result, lavendercourse.JobInterrupted)
+			assert.Equal(t, h.scheduler.Jobs(), 0)
+		})
+	}
+}
+
+// Guards against a job that ends at the time limit of its first caller while a later one, which joined it, still waits.
+func TestCallerThatJoinsExtendsTimeLimit(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		first, joining  clock.Millis
+		wait            clock.Millis
+		endsAtTimeLimit bool
+	}{
+		{"both limits known", 1500, 1500, 1500, false},
+		{"both limits known, later one passes", 1500, 1500, 2500, true},
+		{"shorter limit", 1500, 100, 1400, false},
+		{"limit of the joining caller unknown", 1500, 0, 9000, false},
+		{"limit of the first caller unknown", 0, 1500, 9000, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness("d1")
+			h.enroll("r1", "d1")
+			first, _ := h.submit("a", 1, 1200, c.first)
+			h.now += clock.Second
+			joined, _ := h.submit("a", 1, 1200, c.joining)
+			assert.Assert(t, joined == first)
+			h.now += c.wait - clock.Second
+			h.report("r1", capacity)
+			h.perform(h.scheduler.Tick(h.now))
+			assert.Equal(t, h.answers["a"].Result == lavendercourse.JobInterrupted, c.endsAtTimeLimit)
+		})
+	}
+}
