Notice silent connections to the store within 3 s

Cause: only the answer to a call shows that a connection is alive. A gateway's read of the configuration waited for 10 s and its call for 1.5 s more; after that the next calls used the other connections of the pool, which were silent, too.

Ruled out: a peer that knew the newer version (none had read it).

At worst a gateway reads on a new connection 2.5 s after the old one went silent; the users allow 3 s.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -34,9 +34,10 @@
 	runnerLinkTimeout = 1800 * clock.Millis(1)
 	// pullDelay is the time in ms that the store gets to deliver a record before the gateway requests it from a peer.
 	pullDelay = 250 * clock.Millis(1)
-	// longPollTimeout is the time in ms for which a read of the store waits for a new record. It is a third of the
-	// maximum that the store allows, so that a read that gets no answer is noticed.
-	longPollTimeout = 10 * clock.Second
+	// longPollTimeout is the time in ms for which a read of the store waits for a new record. With the time limit of a call,
+	// 1.5 s, it is the time after which a gateway notices that its connection is silent. Operators allow 3 s until the
+	// newest configuration is in force after that.
+	longPollTimeout = clock.Second
 	// storeRetryInterval is the time in ms between two reads of a store that does not answer.
 	storeRetryInterval = 400 * clock.Millis(1)
 	// announceRetryInterval is the time in ms between two attempts to write this gateway's address to the store, or
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -22,9 +22,14 @@
 // store does not answer, the last known configuration stays in force, and newer records are requested from other
 // gateways.
 func (g *Gateway) followConfig(ctx context.Context) error {
-	loaded, outageLog := false, daemon.NewOutageLog(g.log, g.cfg.ConfigStream)
+	loaded, failures, outageLog := false, 0, daemon.NewOutageLog(g.log, g.cfg.ConfigStream)
 	for ctx.Err() == nil {
-		if outageLog.RecordResult(ctx, g.readConfig(ctx, &loaded)) {
+		if !outageLog.RecordResult(ctx, g.readConfig(ctx, &loaded)) {
+			failures = 0
+			continue
+		}
+		// After the first failure only the connection may be silent, and the next read uses another one.
+		if failures++; failures > 1 {
 			daemon.Sleep(ctx, storeRetryInterval)
 		}
 	}
--- a/proof/fleet/harness_test.go
+++ b/proof/fleet/harness_test.go
@@ -59,6 +59,7 @@
 type system struct {
 	*testing.T
 	store           *fleet.Store
+	storeListener   *fleet.Listener
 	storeAddress    string
 	ledger          *fleet.Ledger
 	gateways        []*gateway.Gateway
@@ -75,7 +76,8 @@
 // fails if the ledger of the workers has recorded a violation.
 func newSystem(t *testing.T, gateways, runners int) *system {
 	s := &system{T: t, store: fleet.NewStore(), ledger: fleet.NewLedger()}
-	s.storeAddress = s.serve(s.store.Handler())
+	s.storeListener = fleet.NewListener(s.listen())
+	s.storeAddress = s.serveOn(s.storeListener, s.store.Handler())
 	s.store.Put(platform.ConfigStream, "config", configJSON(3))
 	for i := range gateways {
 		s.addGateway(fmt.Sprintf("g%d", i))
@@ -105,8 +107,10 @@
 }
 
 // serve starts an HTTP server for the rest of the test and returns its address.
-func (s *system) serve(h http.Handler) string {
-	l := s.listen()
+func (s *system) serve(h http.Handler) string { return s.serveOn(s.listen(), h) }
+
+// serveOn is serve with a listener of the caller.
+func (s *system) serveOn(l net.Listener, h http.Handler) string {
 	server := &http.Server{Handler: h}
 	go func() { _ = server.Serve(l) }()
 	s.Cleanup(func() { _ = server.Close() })
--- a/proof/fleet/system_test.go
+++ b/proof/fleet/system_test.go
@@ -164,6 +164,23 @@
 	}
 }
 
+// Guards against gateways that miss a configuration because their open connections to the store have become silent, while
+// new ones would work. The users allow 3 s after that.
+func TestConfigurationBesideSilentConnections(t *testing.T) {
+	s := newSystem(t, 2, 1)
+	s.awaitReady(0)
+	s.awaitReady(1)
+	s.storeListener.Silence()
+	deadline := time.Now().Add(3 * time.Second)
+	s.store.Put(platform.ConfigStream, "config", configJSON(9))
+	for _, log := range s.logs {
+		for !log.contains(`"version":9`) {
+			assert.Assert(t, time.Now().Before(deadline), "a gateway still uses the old configuration")
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
 // Guards against new runs in a failure domain that operators have drained, and against a failure domain that stays
 // drained after they restore it.
 func TestDomainDrainedAndRestored(t *testing.T) {
