Refuse orders at runners of a drained failure domain

Cause: whether a domain is in service was decided only by the gateway that orders, from what it had read. A gateway that the store and the other domains do not reach serves on with old settings, as it should; its runners carried its orders out although their other gateways knew better.

Fix: gateways tell runners whether their domain is drained and up to which offset they have read; a runner believes the highest offset, and takes no runs in a drained domain. While no gateway of a runner reads the store, the runner does, once a second. Gateways without the store serve on wherever the runners know nothing newer.

--- a/command/runner.go
+++ b/command/runner.go
@@ -31,7 +31,8 @@
 		Name: s.Runner.Name, Domain: s.Place.Domain, Seeds: s.Runner.Seeds, MaxLinks: s.Runner.Links,
 		Worker:  platform.NewWorker(platform.WorkerConfig{Address: s.Runner.Worker, Timeout: s.Runner.Timeout}),
 		Reports: listeners[0], Register: platform.RegisterReports, Metrics: listeners[1],
-		Store:         platform.NewStore(platform.StoreConfig{Address: s.Store.Address, Timeout: s.Store.Timeout}),
+		Store:        platform.NewStore(platform.StoreConfig{Address: s.Store.Address, Timeout: s.Store.Timeout}),
+		ConfigStream: platform.ConfigStream, Decode: platform.DecodeConfig,
 		GatewayStream: platform.GatewayStream, WorkerStream: platform.WorkerStream(s.Place.Domain), Clock: clock.NewBoot(), Logger: logger, LogBudget: s.Log.Budget,
 		DroppedLogLines: out.Dropped,
 	})
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -22,10 +22,20 @@
 // store does not answer, the last known configuration stays in force, and newer records are requested from other
 // gateways.
 func (g *Gateway) followConfig(ctx context.Context) error {
-	loaded, failures, outageLog := false, 0, daemon.NewOutageLog(g.log, g.cfg.ConfigStream)
+	reader, outageLog := daemon.NewStreamReader(g.cfg.Store, g.cfg.ConfigStream), daemon.NewOutageLog(g.log, g.cfg.ConfigStream)
+	failures := 0
 	for ctx.Err() == nil {
-		if !outageLog.RecordResult(ctx, g.readConfig(ctx, &loaded)) {
+		g.mu.Lock()
+		next := g.routes.Next()
+		g.mu.Unlock()
+		apply, err := reader.Read(ctx, next, longPollTimeout)
+		failed := outageLog.RecordResult(ctx, err)
+		g.mu.Lock()
+		g.storeAnswers = !failed
+		g.mu.Unlock()
+		if !failed {
 			failures = 0
+			g.applyConfig(sourceStore, func() []error { return apply(g.routes) })
 			continue
 		}
 		// After the first failure only the connection may be silent, and the next read uses another one.
@@ -36,33 +46,6 @@
 	return ctx.Err()
 }
 
-// readConfig applies the next records of the stream or, while loaded is not set, the newest record of each key. It
-// sets loaded after it has read the latter, and clears it if the store no longer keeps the next records.
-func (g *Gateway) readConfig(ctx context.Context, loaded *bool) error {
-	if !*loaded {
-		c, err := g.cfg.Store.Contents(ctx, g.cfg.ConfigStream)
-		if err != nil {
-			return err
-		}
-		g.applyConfig(sourceStore, func() []error { return g.routes.Replace(c) })
-		*loaded = true
-		return nil
-	}
-	g.mu.Lock()
-	next := g.routes.Next()
-	g.mu.Unlock()
-	c, err := g.cfg.Store.Changes(ctx, g.cfg.ConfigStream, next, longPollTimeout)
-	if err != nil {
-		return err
-	}
-	if c.Expired {
-		*loaded = false
-		return nil
-	}
-	g.applyConfig(sourceStore, func() []error { return g.routes.Apply(c) })
-	return nil
-}
-
 // applyConfig calls apply, which changes the routes, and logs what changed. source says where the records come from.
 func (g *Gateway) applyConfig(source string, apply func() []error) {
 	g.mu.Lock()
@@ -85,6 +68,11 @@
 			g.log.On(event.DomainRestored).Str("domain", d).Uint64("next", g.routes.Next()).Str("source", source).Send()
 		}
 	}
+	if !slices.Equal(drained, current) {
+		for _, r := range g.runners {
+			g.sendDrain(r)
+		}
+	}
 	g.scheduler.SetDrained(current)
 	g.perform(g.scheduler.Dispatch(g.cfg.Clock.Now()))
 	g.updateReady()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,8 @@
 	runners        map[string]*runnerLink
 	peers          map[string]*peerLink
 	pendingAnswers map[*queue.Job]*pendingAnswer
+	// storeAnswers tells whether the last read of the configuration stream was answered.
+	storeAnswers bool
 	// aheadSince is when a digest first announced records that this gateway has not read, or 0 if none has since the
 	// last pull. aheadPeer is the name of the gateway that sent the newest such digest.
 	aheadSince clock.Millis
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -23,6 +23,9 @@
 	link *link.Link
 	// rosterVersion is the version of the list of gateways that was last sent to the runner.
 	rosterVersion int
+	// domain is the failure domain of the runner, and drain what the runner was last told of it.
+	domain string
+	drain  message.Drain
 	// failing tells whether the last logged health of the runner was failing.
 	failing bool
 }
@@ -89,7 +92,7 @@
 		delete(g.runners, h.Name)
 	}
 	if h.Kind == message.KindAgent {
-		g.runners[h.Name] = &runnerLink{link: l, rosterVersion: g.roster.Version()}
+		g.runners[h.Name] = &runnerLink{link: l, rosterVersion: g.roster.Version(), domain: h.Domain}
 	}
 	if err := l.Send(message.TypeWelcome, 0, message.Welcome{Name: g.cfg.Name, Peers: g.roster.Peers()}); err != nil || h.Kind == message.KindAgent {
 		return err
@@ -199,6 +202,7 @@
 			r.rosterVersion, ack.Peers = g.roster.Version(), g.roster.Peers()
 		}
 		_ = r.link.Send(message.TypeReportAck, 0, ack)
+		g.sendDrain(r)
 		g.perform(actions)
 	case message.TypeCrash:
 		var c message.Crash
@@ -226,6 +230,18 @@
 	g.updateReady()
 }
 
+// sendDrain tells a runner whether its failure domain is out of service, unless it was told the same before. The runner
+// refuses the orders of gateways that know less. g.mu must be held.
+func (g *Gateway) sendDrain(r *runnerLink) {
+	d := message.Drain{NextOffset: g.routes.Next(), Drained: g.routes.Drained(r.domain), Current: g.storeAnswers}
+	if d == r.drain {
+		return
+	}
+	r.drain = d
+	// The error is ignored: the runner is told again on its next link.
+	_ = r.link.Send(message.TypeDrain, 0, d)
+}
+
 // handleEnded logs and counts ended runs and passes them to the scheduler.
 func (g *Gateway) handleEnded(now clock.Millis, name string, e message.Ended) {
 	for _, end := range e.Ends {
--- a/message/frame.go
+++ b/message/frame.go
@@ -61,15 +61,16 @@
 	TypeVerdict   Type = 29
 	// TypeIsolatedOrder has the body of TypeOrder. Its runs have to be the only ones on the worker.
 	TypeIsolatedOrder Type = 30
+	TypeDrain         Type = 31
 )
 
 // TypeCount is one more than the highest type number.
-const TypeCount = 31
+const TypeCount = 32
 
 var typeNames = [TypeCount]string{
 	"unknown", "hello", "welcome", "beat", "renew", "start", "done", "stop", "leave", "resume", "pulse", "ack",
 	"forward", "reply", "ask", "heard", "fetch", "state", "offer", "enroll", "report", "order", "recall", "ended", "keep",
-	"digest", "pull", "records", "crash", "verdict", "isolate",
+	"digest", "pull", "records", "crash", "verdict", "isolate", "drain",
 }
 
 // String returns the name of the type, as used in metrics.
--- a/message/queue.go
+++ b/message/queue.go
@@ -143,6 +143,18 @@
 	Peers []Peer
 }
 
+// Drain tells a runner whether its failure domain is out of service, as far as the gateway knows. Runners of earlier
+// versions ignore it.
+type Drain struct {
+	_ struct{} `cbor:",toarray"`
+	// NextOffset is the offset of the next record that the gateway has to read. The runner believes the gateway that has
+	// read the most.
+	NextOffset uint64
+	Drained    bool
+	// Current tells whether the store answers the gateway. If it does not, the gateway may not know the newest records.
+	Current bool
+}
+
 // Digest tells a gateway how far another one has read the settings that operators published. A pull has the same body;
 // it is answered with records if the receiver has read further.
 type Digest struct {
--- a/proof/fleet/harness_test.go
+++ b/proof/fleet/harness_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,14 +123,39 @@
 	return platform.NewStore(platform.StoreConfig{Address: s.storeAddress, Timeout: clock.Second})
 }
 
+// addGatewayBehindCut starts a gateway that only runners are linked with, and that the store no longer answers from the
+// returned call on.
+func (s *system) addGatewayBehindCut(name string) func() {
+	var cut atomic.Bool
+	address := s.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		s.store.Handler().ServeHTTP(answer, r)
+		// A read that has waited since before the cut is not answered either.
+		if cut.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
+	}))
+	store := platform.NewStore(platform.StoreConfig{Address: address, Timeout: clock.Second})
+	// The other gateways neither read its address nor hear of it.
+	s.startGateway(gateway.Config{Name: name, Store: store, GatewayStream: "keyed.other"})
+	return func() { cut.Store(true) }
+}
+
 // addGateway starts a gateway whose seeds are the gateways started before it.
 func (s *system) addGateway(name string) {
+	s.startGateway(gateway.Config{Name: name, Seeds: s.linkAddresses, Store: s.storeClient(), GatewayStream: platform.GatewayStream})
+}
+
+// startGateway starts a gateway with the given settings; the others are set here.
+func (s *system) startGateway(cfg gateway.Config) {
 	callerListener, linkListener, log := s.listen(), s.listen(), &logBuffer{}
-	g, err := gateway.New(gateway.Config{
-		Name: name, Domain: "d0", Callers: callerListener, Ready: s.listen(), Links: linkListener, Advertise: linkListener.Addr().String(),
-		Seeds: s.linkAddresses, Store: s.storeClient(), ConfigStream: platform.ConfigStream, GatewayStream: platform.GatewayStream,
-		Decode: platform.DecodeConfig, Serve: platform.NewJobHandler, Clock: clock.NewBoot(), Logger: zerolog.New(log),
-	})
+	cfg.Domain, cfg.Callers, cfg.Ready, cfg.Links, cfg.Advertise = "d0", callerListener, s.listen(), linkListener, linkListener.Addr().String()
+	cfg.ConfigStream, cfg.Decode, cfg.Serve = platform.ConfigStream, platform.DecodeConfig, platform.NewJobHandler
+	cfg.Clock, cfg.Logger = clock.NewBoot(), zerolog.New(log)
+	g, err := gateway.New(cfg)
 	assert.NilError(s, err)
 	s.gateways = append(s.gateways, g)
 	s.callerAddresses = append(s.callerAddresses, callerListener.Addr().String())
@@ -158,7 +185,8 @@
 func (s *system) startRunner(name string, reportListener net.Listener, worker string) *runner.Runner {
 	r, err := runner.New(runner.Config{
 		Name: name, Domain: "d0", Seeds: s.linkAddresses, Reports: reportListener, Register: platform.RegisterReports, Store: s.storeClient(),
-		Worker:        platform.NewWorker(platform.WorkerConfig{Address: worker, Timeout: 200}),
+		Worker:       platform.NewWorker(platform.WorkerConfig{Address: worker, Timeout: 200}),
+		ConfigStream: platform.ConfigStream, Decode: platform.DecodeConfig,
 		GatewayStream: platform.GatewayStream, WorkerStream: platform.WorkerStream("d0"), Clock: clock.NewBoot(), Logger: zerolog.Nop(),
 	})
 	assert.NilError(s, err)
--- a/proof/fleet/system_test.go
+++ b/proof/fleet/system_test.go
@@ -203,6 +203,37 @@
 	assert.Equal(t, (<-done).state, "completed")
 }
 
+// Guards against starts in a drained failure domain on orders of a gateway that the store and the other gateways do not
+// reach, while its callers and runners do. The runners are told by another gateway or, if there is none, read the store. The
+// users allow 5 s.
+func TestDrainBesideGatewayBehindCut(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// gateways is the number of gateways that read the store.
+		gateways int
+	}{
+		{"told by another gateway", 1}, {"read from the store", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSystem(t, c.gateways, 0)
+			cut := s.addGatewayBehindCut("behind")
+			s.addRunner("r0")
+			s.awaitReady(c.gateways)
+			cut()
+			s.store.Put(platform.ConfigStream, "evacuate/d0", "{}")
+			time.Sleep(5 * time.Second)
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = s.submit(c.gateways, jobID(2), jobJSON(1, 1000, 10, "")) })
+			time.Sleep(500 * time.Millisecond)
+			assert.Assert(t, !s.ledger.Started(jobID(2)))
+			// Only the runner learns that the failure domain is in service again.
+			s.store.Put(platform.ConfigStream, "evacuate/d0", "")
+			s.awaitReady(c.gateways)
+			wg.Wait()
+		})
+	}
+}
+
 // Guards against a graceful stop that aborts accepted jobs: their callers still get the results.
 func TestGracefulStop(t *testing.T) {
 	s := newSystem(t, 1, 1)
--- a/room/room.go
+++ b/room/room.go
@@ -49,6 +49,8 @@
 	// draining is set while the worker is draining, shuttingDown once the runner is shutting down.
 	draining     bool
 	shuttingDown bool
+	// domainDrained is set while the failure domain of the worker is out of service.
+	domainDrained bool
 	// incarnation identifies the worker process that the table describes, by WorkerReport.Incarnation; 0 means unknown.
 	// endIncarnation resets the fields that describe only this incarnation.
 	incarnation int64
@@ -139,7 +141,7 @@
 		return false
 	}
 	return t.reportIsCurrent() && t.reportAge(now) <= t.heartbeatInterval+reportAgeMargin &&
-		!t.draining && !t.shuttingDown && t.reconciled && len(t.foreign) == 0 && now-t.lastAnswer < silentAfter
+		!t.draining && !t.domainDrained && !t.shuttingDown && t.reconciled && len(t.foreign) == 0 && now-t.lastAnswer < silentAfter
 }
 
 // reportAge returns the age of the last report in ms, or more. It is measured by the worker's clock, since a report may have
@@ -172,6 +174,13 @@
 	}
 }
 
+// SetDomainDrained sets whether the failure domain of the worker is out of service. New runs are refused while it is, and
+// the present ones go on.
+func (t *Table) SetDomainDrained(drained bool) { t.domainDrained = drained }
+
+// DomainDrained tells whether the failure domain of the worker is out of service.
+func (t *Table) DomainDrained() bool { return t.domainDrained }
+
 // RefuseNewRuns makes the table refuse all new runs, since the runner is shutting down.
 func (t *Table) RefuseNewRuns() { t.shuttingDown = true }
 
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -506,3 +506,32 @@
 	assert.Assert(t, h.table.AcceptsRuns(h.now))
 	assert.Equal(t, h.table.UnfinishedRuns(), 1)
 }
+
+// Guards against starts in a failure domain that is out of service, and against a worker that stays closed after that.
+func TestDrainedDomainGetsNoRuns(t *testing.T) {
+	h := newReadyHarness(t)
+	before := lavendercourse.RunID{Job: "before", Run: 1}
+	order := func(id lavendercourse.RunID) []room.Action {
+		return h.table.HandleOrder(h.now, entryName, message.Order{Stamp: h.now, Job: id.Job, Need: need, Runs: []lavendercourse.RunID{id}})
+	}
+	_, started := order(before)[0].(room.StartRun)
+	assert.Assert(t, started)
+	h.table.SetDomainDrained(true)
+	assert.Assert(t, !h.table.LoadReport(h.now).AcceptsRuns)
+	assert.Equal(t, h.table.UnfinishedRuns(), 1, "runs that have started go on")
+	for _, isolated := range []bool{false, true} {
+		id := lavendercourse.RunID{Job: "during", Run: 1}
+		o := message.Order{Stamp: h.now, Job: id.Job, Need: need, Runs: []lavendercourse.RunID{id}}
+		handle := h.table.HandleOrder
+		if isolated {
+			handle = h.table.HandleIsolatedOrder
+		}
+		end, refused := handle(h.now, entryName, o)[0].(room.ReportEnd)
+		assert.Assert(t, refused)
+		assert.Equal(t, end.Kind, lavendercourse.EndRefused)
+		assert.Equal(t, end.Reason, lavendercourse.ReplyUnavailable)
+	}
+	h.table.SetDomainDrained(false)
+	_, started = order(lavendercourse.RunID{Job: "after", Run: 1})[0].(room.StartRun)
+	assert.Assert(t, started)
+}
--- a/runner/config.go
+++ b/runner/config.go
@@ -13,6 +13,7 @@
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/room"
+	"github.com/lavendercourse/lavendercourse/route"
 )
 
 // ErrStart is returned when a runner cannot start because its configuration is incomplete.
@@ -35,6 +36,10 @@
 	// lookupPeriod, in ms, is the time between two reads of the list of gateways while there is no link. It is also the
 	// pause before a failed write of the worker record is repeated.
 	lookupPeriod = clock.Second
+	// drainReadPeriod, in ms, is the time between two reads of the configuration stream while no gateway reads it. A gateway
+	// notices within 2.5 s that the store does not answer, and tells it with its next report answer; operators allow 5 s until
+	// nothing starts in a drained failure domain.
+	drainReadPeriod = clock.Second
 	// recordRefreshPeriod, in ms, is the time after which an unchanged record of the worker is written again. A successor does
 	// not use a record whose report is much older than the time between two heartbeats.
 	recordRefreshPeriod = 2500 * clock.Millis(1)
@@ -70,6 +75,9 @@
 	// Metrics accepts the connections of metrics scrapers. It may be nil.
 	Metrics net.Listener
 	Store   lavendercourse.Store
+	// ConfigStream is the keyed stream of published configuration, and Decode decodes its records.
+	ConfigStream string
+	Decode       route.Decoder
 	// GatewayStream is the keyed stream with the gateways' addresses.
 	GatewayStream string
 	// WorkerStream is the keyed stream in which each runner stores the last report of its worker.
--- a/runner/fuzz_test.go
+++ b/runner/fuzz_test.go
@@ -16,6 +16,7 @@
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/route"
 )
 
 // fakeWorker accepts everything and runs nothing.
@@ -34,6 +35,9 @@
 	return lavendercourse.WorkerRuns{Status: lavendercourse.WorkerStatus{Clock: 1, Incarnation: 1}}, lavendercourse.ReplyAccepted, nil
 }
 
+// decodeNothing decodes the records of a stream that has none.
+func decodeNothing(string, []byte) (route.Update, error) { return route.Update{}, nil }
+
 // emptyStore holds no records.
 type emptyStore struct{}
 
@@ -75,7 +79,7 @@
 		f.Fatal(err)
 	}
 	r, err := New(Config{
-		Name: "r", Worker: fakeWorker{}, Reports: reports, Register: func(*mux.Router, lavendercourse.WorkerSink) {}, Store: emptyStore{},
+		Name: "r", Worker: fakeWorker{}, Reports: reports, Register: func(*mux.Router, lavendercourse.WorkerSink) {}, Store: emptyStore{}, Decode: decodeNothing,
 		Clock: clock.NewBoot(), Logger: zerolog.Nop(),
 	})
 	if err != nil {
--- a/runner/link.go
+++ b/runner/link.go
@@ -15,6 +15,8 @@
 	// enrolled is set once the worker's description has been sent on this link. That happens only after all runs that
 	// the gateway ordered on an earlier link have ended.
 	enrolled bool
+	// current is set while the gateway reads the store, by its last message.Drain.
+	current bool
 	// backlogged is set while the gateway has more tasks than the runners' free capacity can take.
 	backlogged bool
 	// runsOrdered is the number of runs that the gateway has ordered on this link.
@@ -139,6 +141,12 @@
 		g.backlogged, g.ackedAt = ack.Backlogged, ack.Stamp
 		r.table.RenewOwnerLease(name, ack.Stamp)
 		r.roster.Learn(ack.Peers)
+	case message.TypeDrain:
+		var d message.Drain
+		if err := f.DecodeBody(&d); err != nil {
+			return err
+		}
+		r.handleDrain(now, g, name, d)
 	}
 	return nil
 }
--- a/runner/link_test.go
+++ b/runner/link_test.go
@@ -36,6 +36,18 @@
 	return lavendercourse.WorkerRuns{}, lavendercourse.ReplyOther, lavendercourse.ErrWorkerDown
 }
 
+// newTestLink returns the runner's end of a link to a gateway. The gateway's end passes its frames to the given handler.
+func newTestLink(t *testing.T, gateway link.Handler) *link.Link {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = link.Accept(w, req, link.Config{Handler: gateway})
+	}))
+	t.Cleanup(s.Close)
+	l, err := link.NewDialer(nil).Dial(t.Context(), strings.TrimPrefix(s.URL, "http://"), link.Config{Handler: discard{}})
+	assert.NilError(t, err)
+	t.Cleanup(l.Close)
+	return l
+}
+
 // Guards against an order that is lost because the runner closes a link above its limit while the order is on its way:
 // the gateway must have acknowledged before that it gets no more runs started, and the runs of the gateway must have
 // ended.
@@ -44,7 +56,7 @@
 	assert.NilError(t, err)
 	r, err := New(Config{
 		Name: "r", MaxLinks: 1, Worker: unreachableWorker{}, Reports: reports, Register: func(*mux.Router, lavendercourse.WorkerSink) {},
-		Store: emptyStore{}, Clock: clock.NewBoot(), Logger: zerolog.Nop(),
+		Store: emptyStore{}, Decode: decodeNothing, Clock: clock.NewBoot(), Logger: zerolog.Nop(),
 	})
 	assert.NilError(t, err)
 	// Without its services, nothing but the test changes the runner. Calls to the worker may still be ending.
@@ -52,17 +64,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	received := make(frames, 16)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		_, _ = link.Accept(w, req, link.Config{Handler: received})
-	}))
-	defer s.Close()
 	r.roster.Learn([]message.Peer{{Name: "g1", Address: "a1"}, {Name: "g2", Address: "a2"}})
 	for _, name := range []string{"g1", "g2"} {
-		l, err := link.NewDialer(nil).Dial(t.Context(), strings.TrimPrefix(s.URL, "http://"), link.Config{Handler: discard{}})
-		assert.NilError(t, err)
-		defer l.Close()
 		assert.Assert(t, r.roster.AddLink(name))
-		r.gateways[name] = &gatewayLink{link: l, enrolled: true}
+		r.gateways[name] = &gatewayLink{link: newTestLink(t, received), enrolled: true}
 	}
 	surplus := r.roster.SurplusLinks()
 	assert.Equal(t, len(surplus), 1)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -43,6 +43,9 @@
 	workerLosesAnswers bool
 	// answersLost receives a value while the worker leaves a share of the calls unanswered.
 	answersLost chan struct{}
+	// drainOffset is the offset in the configuration stream up to which it is known whether the failure domain is out of
+	// service.
+	drainOffset uint64
 	// desiredRecord is the record of the worker that the store should hold, and nil if it is not known yet; it is empty
 	// if the record is to be removed. recordClock is the reading of the worker's clock in desiredRecord. storedRecord is the record that the store holds. recordChanged receives a value
 	// when desiredRecord has changed.
@@ -60,8 +63,8 @@
 
 // New starts a runner. It runs until Stop or Kill is called.
 func New(cfg Config) (*Runner, error) {
-	if cfg.Name == "" || cfg.Worker == nil || cfg.Reports == nil || cfg.Register == nil || cfg.Store == nil || cfg.Clock == nil {
-		return nil, eris.Wrap(ErrStart, "name, worker, reports listener, register function, store and clock are required")
+	if cfg.Name == "" || cfg.Worker == nil || cfg.Reports == nil || cfg.Register == nil || cfg.Store == nil || cfg.Decode == nil || cfg.Clock == nil {
+		return nil, eris.Wrap(ErrStart, "name, worker, reports listener, register function, store, decoder and clock are required")
 	}
 	if cfg.Counters == nil {
 		cfg.Counters = link.NewCounters()
@@ -100,6 +103,7 @@
 	s.Add(daemon.NewService("renew more", r.renewMore))
 	s.Add(daemon.NewService("lookup", r.lookup))
 	s.Add(daemon.NewService("record", r.syncRecord))
+	s.Add(daemon.NewService("drain", r.followDrain))
 	s.Add(daemon.NewPeriodic("tick", tickPeriod, r.tick))
 	s.Add(daemon.NewPeriodic("dial", dialPeriod, func() { r.dialer.DialDue(ctx) }))
 	r.done = daemon.Start(ctx, s)
--- a/runner/worker_test.go
+++ b/runner/worker_test.go
@@ -39,7 +39,7 @@
 	reports, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	r, err := New(Config{
-		Name: "r", Worker: w, Reports: reports, Register: func(*mux.Router, lavendercourse.WorkerSink) {}, Store: emptyStore{},
+		Name: "r", Worker: w, Reports: reports, Register: func(*mux.Router, lavendercourse.WorkerSink) {}, Store: emptyStore{}, Decode: decodeNothing,
 		Clock: clock.NewBoot(), Logger: zerolog.Nop(),
 	})
 	assert.NilError(t, err)
