Tell gateways of a worker that came back as one of another kind

Cause: after a crash the incarnation of a worker is unknown, and the old report counts as current. A heartbeat of the new incarnation that came before its first answer was compared with it by id and capacity only, so the gateways kept the old labels for as long as their links lasted.

Evidence: TestRestartedWorkerIsDescribedAgain. The cases without an answer before the heartbeat reported no change; with one, the change was reported, but an order that was on its way still started.

Fix: incarnation, service and labels count as well, and an order from before such a change is refused.

--- a/room/room.go
+++ b/room/room.go
@@ -1,6 +1,7 @@
 package room
 
 import (
+	"slices"
 	"sort"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
@@ -12,6 +13,7 @@
 const (
 	causeInvalidOrder      = "order asks for less than nothing"
 	causeStaleOrder        = "order carries an old stamp"
+	causeOtherKind         = "order was made for another kind of worker"
 	causeNotAccepting      = "worker takes no runs"
 	causeNoCapacity        = "worker has no room"
 	causeEarlierRun        = "an earlier run of the task has not ended"
@@ -42,6 +44,9 @@
 	// reportedAt is the time at which the worker sent it to this runner, or 0.
 	inheritedAt clock.Millis
 	reportedAt  clock.Millis
+	// describedAt is the time at which the incarnation, the service or the labels of the worker were last reported to be
+	// others. Orders from before that may require what the worker no longer is.
+	describedAt clock.Millis
 	// heartbeatInterval is the shortest time between two successive heartbeats, in ms; intervalMeasured is set once there
 	// were two.
 	heartbeatInterval clock.Millis
@@ -185,7 +190,7 @@
 func (t *Table) RefuseNewRuns() { t.shuttingDown = true }
 
 // HandleHeartbeat processes a heartbeat of the worker. It also returns whether entries have to be sent the worker's
-// description again: its incarnation, ID or capacity has changed.
+// description again, since it has changed.
 func (t *Table) HandleHeartbeat(now clock.Millis, report lavendercourse.WorkerReport) ([]Action, bool) {
 	if t.isStale(report) {
 		return nil, false
@@ -194,7 +199,12 @@
 	if t.incarnation != 0 && report.Incarnation > t.incarnation {
 		actions = t.endIncarnation(now)
 	}
-	changed := !t.reportIsCurrent() || report.ID != t.worker.ID || report.Capacity != t.worker.Capacity
+	sameKind := t.hasReport && report.Incarnation == t.worker.Incarnation && report.ID == t.worker.ID &&
+		report.Service == t.worker.Service && slices.Equal(report.Labels, t.worker.Labels)
+	if !sameKind {
+		t.describedAt = now
+	}
+	changed := !sameKind || !t.reportIsCurrent() || report.Capacity != t.worker.Capacity
 	t.measureInterval(now, report)
 	t.worker, t.hasReport, t.draining, t.inheritedAt, t.reportedAt = report, true, report.Draining, 0, now
 	t.incarnation = report.Incarnation
@@ -343,6 +353,8 @@
 		return lavendercourse.ReplyOther, causeInvalidOrder
 	case now-o.Stamp > t.cfg.OrderValidity:
 		return lavendercourse.ReplyLate, causeStaleOrder
+	case o.Stamp < t.describedAt:
+		return lavendercourse.ReplyUnavailable, causeOtherKind
 	case !t.AcceptsRuns(now):
 		return lavendercourse.ReplyUnavailable, causeNotAccepting
 	case t.runs[keyOf(id)] != nil:
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -535,3 +535,50 @@
 	_, started = order(lavendercourse.RunID{Job: "after", Run: 1})[0].(room.StartRun)
 	assert.Assert(t, started)
 }
+
+// Guards against starts on a worker that came back under its id as one of another kind: entries that are not told of it
+// go on ordering runs for the labels that it had, and so do orders that were on their way.
+func TestRestartedWorkerIsDescribedAgain(t *testing.T) {
+	old := lavendercourse.WorkerReport{ID: workerName, Incarnation: firstIncarnation, Service: "s", Capacity: capacity, Labels: []string{"a"}, Sequence: 1}
+	for _, c := range []struct {
+		name   string
+		change func(r *lavendercourse.WorkerReport)
+		// answersFirst is set if the worker answers a call before it sends its heartbeat.
+		answersFirst bool
+	}{
+		{"other labels", func(r *lavendercourse.WorkerReport) { r.Labels = []string{"b"} }, false},
+		{"other labels, known from an answer", func(r *lavendercourse.WorkerReport) { r.Labels = []string{"b"} }, true},
+		{"another service", func(r *lavendercourse.WorkerReport) { r.Service = "other" }, false},
+		{"nothing else", func(*lavendercourse.WorkerReport) {}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			_, changed := h.table.HandleHeartbeat(h.now, old)
+			assert.Assert(t, changed)
+			h.renew(lavendercourse.ReplyAccepted)
+			h.now += 100
+			repeated := old
+			repeated.Sequence = 2
+			_, changed = h.table.HandleHeartbeat(h.now, repeated)
+			assert.Assert(t, !changed, "nothing has changed")
+
+			onItsWay := message.Order{Stamp: h.now, Need: need, Runs: []lavendercourse.RunID{runID(0)}}
+			h.table.WorkerDown(h.now)
+			h.now += 100
+			h.incarnation = firstIncarnation + 500
+			if c.answersFirst {
+				h.renew(lavendercourse.ReplyAccepted)
+			}
+			restarted := old
+			restarted.Incarnation = h.incarnation
+			c.change(&restarted)
+			_, changed = h.table.HandleHeartbeat(h.now, restarted)
+			assert.Assert(t, changed)
+			h.renew(lavendercourse.ReplyAccepted)
+			h.renew(lavendercourse.ReplyAccepted)
+			assert.Assert(t, h.table.AcceptsRuns(h.now))
+			assert.DeepEqual(t, describe(h.table.HandleOrder(h.now, entryName, onItsWay)), []string{"refused 0"})
+			assert.DeepEqual(t, describe(h.order(runID(0))), []string{"start 0"})
+		})
+	}
+}
