Share cancels between gateways

Cause: only the gateway that was asked kept that a job is cancelled. By the same gap a cancel at a gateway without the job left the job running at its own.

Evidence: TestCancelledJobStartsNowhere fails in both cases while nothing is shared, in the first with the job completed at the other gateway.

Fix: a gateway tells those that it is or will be linked with of a cancel. They end the job, or answer its submission as cancelled for 15 s. Kept answers are no longer used after their time if nothing has ended since.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -129,6 +129,14 @@
 			return err
 		}
 		g.scheduler.HandleVerdict(g.cfg.Clock.Now(), v)
+	case message.TypeCancel:
+		var c message.Cancel
+		if err := f.DecodeBody(&c); err != nil {
+			return err
+		}
+		for _, job := range c.Jobs {
+			g.perform(g.scheduler.HandleCancel(g.cfg.Clock.Now(), job))
+		}
 	case message.TypePull:
 		var d message.Digest
 		if err := f.DecodeBody(&d); err != nil {
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -49,6 +49,7 @@
 		message.TypeEnded:   message.Ended{Ends: []message.RunEnd{{Run: run, Kind: 200}}},
 		message.TypeDigest:  message.Digest{NextOffset: 1 << 63},
 		message.TypePull:    message.Digest{},
+		message.TypeCancel:  message.Cancel{Jobs: []message.CancelledJob{{Key: "k", Remaining: -1}}},
 		message.TypeRecords: message.Records{Settings: []lavendercourse.KeyRecord{{Key: "config", Value: []byte("{")}}, End: 1 << 63},
 	} {
 		b, err := message.Encode(t, 0, body)
--- a/gateway/jobservice.go
+++ b/gateway/jobservice.go
@@ -61,22 +61,17 @@
 	return lavendercourse.JobAnswer{Result: lavendercourse.JobNoQueue}
 }
 
-// findJob returns the job that a request names. If there is none it returns nil and the answer to the request.
-func (s jobService) findJob(host, path string) (*queue.Job, lavendercourse.JobAnswer) {
-	q, id, ok := s.routes.Match(host, path)
-	if !ok {
-		return nil, s.noQueueAnswer()
-	}
-	return s.scheduler.Job(q, id), lavendercourse.JobAnswer{Result: lavendercourse.JobUnknown}
-}
-
 // State returns whether a job of this gateway is queued or running.
 func (s jobService) State(host, path string) lavendercourse.JobAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j, a := s.findJob(host, path)
+	q, id, ok := s.routes.Match(host, path)
+	if !ok {
+		return s.noQueueAnswer()
+	}
+	j := s.scheduler.Job(q, id)
 	if j == nil {
-		return a
+		return lavendercourse.JobAnswer{Result: lavendercourse.JobUnknown}
 	}
 	if j.Started() {
 		return lavendercourse.JobAnswer{Result: lavendercourse.JobRunning}
@@ -84,15 +79,22 @@
 	return lavendercourse.JobAnswer{Result: lavendercourse.JobQueued}
 }
 
-// Cancel cancels a job of this gateway.
+// Cancel cancels a job. A job that this gateway does not have is cancelled at the gateway that has it, and refused wherever
+// it is submitted again.
 func (s jobService) Cancel(host, path string) lavendercourse.JobAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j, a := s.findJob(host, path)
+	now := s.cfg.Clock.Now()
+	q, id, ok := s.routes.Match(host, path)
+	if !ok {
+		return s.noQueueAnswer()
+	}
+	j := s.scheduler.Job(q, id)
 	if j == nil {
-		return a
+		s.perform(s.scheduler.CancelUnknown(now, q, id))
+		return lavendercourse.JobAnswer{Result: lavendercourse.JobUnknown}
 	}
-	s.perform(s.scheduler.Cancel(s.cfg.Clock.Now(), j))
+	s.perform(s.scheduler.Cancel(now, j))
 	return lavendercourse.JobAnswer{Result: lavendercourse.JobCancelled}
 }
 
@@ -121,6 +123,8 @@
 			g.recordCrashingTask(a)
 		case queue.ShareVerdict:
 			g.shareVerdict(a.Verdict)
+		case queue.ShareCancel:
+			g.shareCancel(a.Job)
 		case queue.AnswerCallers:
 			g.answerCallers(a)
 		}
@@ -150,6 +154,14 @@
 	}
 }
 
+// shareCancel tells all other gateways of a cancelled job. g.mu must be held.
+func (g *Gateway) shareCancel(c message.CancelledJob) {
+	for _, p := range g.peers {
+		// The error is ignored: the gateway is sent the cancels that are kept on its next link.
+		_ = p.link.Send(message.TypeCancel, 0, message.Cancel{Jobs: []message.CancelledJob{c}})
+	}
+}
+
 // answerCallers logs and counts the result of a job and passes it to the callers that wait for it. g.mu must be held.
 func (g *Gateway) answerCallers(f queue.AnswerCallers) {
 	now := g.cfg.Clock.Now()
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -97,17 +97,21 @@
 	if err := l.Send(message.TypeWelcome, 0, message.Welcome{Name: g.cfg.Name, Peers: g.roster.Peers()}); err != nil || h.Kind == message.KindAgent {
 		return err
 	}
-	return g.sendVerdicts(l)
+	return g.sendShared(l)
 }
 
-// sendVerdicts sends the contained queues to a gateway that has been linked. g.mu must be held.
-func (g *Gateway) sendVerdicts(l *link.Link) error {
+// sendShared sends the contained queues and the cancelled jobs to a gateway that has been linked. g.mu must be held.
+func (g *Gateway) sendShared(l *link.Link) error {
 	for _, v := range g.scheduler.Verdicts() {
 		if err := l.Send(message.TypeVerdict, 0, v); err != nil {
 			return err
 		}
 	}
-	return nil
+	cancels := g.scheduler.Cancels(g.cfg.Clock.Now())
+	if len(cancels) == 0 {
+		return nil
+	}
+	return l.Send(message.TypeCancel, 0, message.Cancel{Jobs: cancels})
 }
 
 // addPeerLink registers a link that the named gateway dialed. Only one link is kept between two gateways: if both have
@@ -149,7 +153,7 @@
 	g.roster.AddLink(w.Name)
 	g.peers[w.Name] = &peerLink{link: l, rosterVersion: g.roster.Version()}
 	g.log.On(event.LinkOpened).Str("peer", w.Name).Send()
-	if err := g.sendVerdicts(l); err != nil {
+	if err := g.sendShared(l); err != nil {
 		return err
 	}
 	return l.Send(message.TypePull, 0, message.Digest{NextOffset: g.routes.Next()})
--- a/message/frame.go
+++ b/message/frame.go
@@ -62,15 +62,16 @@
 	// TypeIsolatedOrder has the body of TypeOrder. Its runs have to be the only ones on the worker.
 	TypeIsolatedOrder Type = 30
 	TypeDrain         Type = 31
+	TypeCancel        Type = 32
 )
 
 // TypeCount is one more than the highest type number.
-const TypeCount = 32
+const TypeCount = 33
 
 var typeNames = [TypeCount]string{
 	"unknown", "hello", "welcome", "beat", "renew", "start", "done", "stop", "leave", "resume", "pulse", "ack",
 	"forward", "reply", "ask", "heard", "fetch", "state", "offer", "enroll", "report", "order", "recall", "ended", "keep",
-	"digest", "pull", "records", "crash", "verdict", "isolate", "drain",
+	"digest", "pull", "records", "crash", "verdict", "isolate", "drain", "cancel",
 }
 
 // String returns the name of the type, as used in metrics.
--- a/message/fuzz_test.go
+++ b/message/fuzz_test.go
@@ -21,7 +21,7 @@
 		message.TypeOrder: &message.Order{}, message.TypeRecall: &message.Recall{}, message.TypeEnded: &message.Ended{},
 		message.TypeReportAck: &message.ReportAck{}, message.TypeDigest: &message.Digest{}, message.TypePull: &message.Digest{},
 		message.TypeRecords: &message.Records{}, message.TypeCrash: &message.Crash{}, message.TypeVerdict: &message.Verdict{},
-		message.TypeDrain: &message.Drain{},
+		message.TypeDrain: &message.Drain{}, message.TypeCancel: &message.Cancel{},
 	}
 }
 
@@ -45,6 +45,7 @@
 		message.TypeEnded:   message.Ended{Report: message.Report{Stamp: 5}, Ends: []message.RunEnd{{Run: runs[0], Kind: 1}}},
 		message.TypeCrash:   message.Crash{Incarnation: 5, Ago: 100, Runs: []message.CrashedRun{{Run: runs[0], Age: 60}}},
 		message.TypeVerdict: message.Verdict{Service: "s", Queue: "q", Cause: "j", Crashes: []message.CrashID{{Runner: "r", Incarnation: 5}}},
+		message.TypeCancel:  message.Cancel{Jobs: []message.CancelledJob{{Key: "h/p/5c0e7a21d94b36f8", Digest: 7, Remaining: 100}}},
 		message.TypeDrain:   message.Drain{NextOffset: 4, Drained: true, Current: true},
 		message.TypeRecords: message.Records{Settings: []lavendercourse.KeyRecord{{Key: "config", Value: []byte("{}"), Offset: 3}}, End: 4},
 		message.TypeState:   message.State{Version: 1, Settings: []message.Setting{{Key: "domain.a", Value: "drained", Version: 1}}},
--- a/message/queue.go
+++ b/message/queue.go
@@ -155,6 +155,24 @@
 	Current bool
 }
 
+// Cancel tells other gateways of jobs that their callers have cancelled. None of them may start such a job when its
+// submission arrives once more. Gateways of earlier versions ignore it.
+type Cancel struct {
+	_    struct{} `cbor:",toarray"`
+	Jobs []CancelledJob
+}
+
+// CancelledJob is a job that its caller has cancelled.
+type CancelledJob struct {
+	_ struct{} `cbor:",toarray"`
+	// Key identifies the job: the host and the path prefix of its queue, and its id.
+	Key string
+	// Digest is that of the submission, or 0 if the gateway that was asked to cancel the job did not have it.
+	Digest uint64
+	// Remaining is the time in ms for which the cancel has to be kept.
+	Remaining clock.Millis
+}
+
 // Digest tells a gateway how far another one has read the settings that operators published. A pull has the same body;
 // it is answered with records if the receiver has read further.
 type Digest struct {
--- a/proof/fleet/harness_test.go
+++ b/proof/fleet/harness_test.go
@@ -236,6 +236,19 @@
 	return r
 }
 
+// awaitPeers waits until all gateways are linked with another one.
+func (s *system) awaitPeers() {
+	s.Helper()
+	poll.WaitOn(s, func(poll.LogT) poll.Result {
+		for i, log := range s.logs {
+			if !log.contains(`"peer":"g`) {
+				return poll.Continue("gateway %d has no link to another one", i)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(waitTimeout))
+}
+
 // awaitReady submits small jobs to a gateway until one completes. Their ids differ between gateways and from those of
 // the tests.
 func (s *system) awaitReady(gateway int) {
--- a/proof/fleet/system_test.go
+++ b/proof/fleet/system_test.go
@@ -3,6 +3,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -234,6 +235,38 @@
 	}
 }
 
+// Guards against a cancelled job that starts at another gateway when its submission arrives there seconds after the answer,
+// and against one that goes on because its cancel came to another gateway.
+func TestCancelledJobStartsNowhere(t *testing.T) {
+	for cancelledAt, status := range []int{http.StatusOK, http.StatusGone} {
+		t.Run(fmt.Sprintf("cancelled at gateway %d", cancelledAt), func(t *testing.T) {
+			s := newSystem(t, 2, 2)
+			s.awaitReady(0)
+			s.awaitReady(1)
+			s.awaitPeers()
+			body := jobJSON(2, 3100, 3000, "")
+			done := make(chan response, 1)
+			go func() { done <- s.submit(0, jobID(1), body) }()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if s.ledger.Started(jobID(1)) {
+					return poll.Success()
+				}
+				return poll.Continue("the job has not started")
+			}, poll.WithTimeout(waitTimeout))
+			cancel, err := s.send(cancelledAt, http.MethodDelete, pathPrefix+jobID(1), "")
+			assert.NilError(t, err)
+			assert.Equal(t, cancel.status, status)
+			assert.Equal(t, (<-done).state, "cancelled")
+			time.Sleep(200 * time.Millisecond)
+			starts := s.workers[0].Starts() + s.workers[1].Starts()
+			for gateway := range s.gateways {
+				assert.Equal(t, s.submit(gateway, jobID(1), body), response{200, "cancelled", ""})
+			}
+			assert.Equal(t, s.workers[0].Starts()+s.workers[1].Starts(), starts)
+		})
+	}
+}
+
 // Guards against a graceful stop that aborts accepted jobs: their callers still get the results.
 func TestGracefulStop(t *testing.T) {
 	s := newSystem(t, 1, 1)
--- /dev/null
+++ b/queue/cancel_test.go
@@ -0,0 +1,97 @@
+package queue_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+)
+
+// Guards against a cancelled job that starts at another entry, because its submission arrives there once more or because the
+// cancel did not reach the entry that has the job.
+func TestCancelCountsAtOtherEntries(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// cancel cancels the job "a" of first, and passes on what first or second share. It returns the entry at which the
+		// submission arrives once more.
+		cancel func(t *testing.T, first, second *harness) *harness
+	}{
+		{"at its entry", func(t *testing.T, first, second *harness) *harness {
+			first.perform(first.scheduler.Cancel(first.now, first.scheduler.Job(testQueue, "a")))
+			assert.Equal(t, len(first.cancels), 1)
+			second.perform(second.scheduler.HandleCancel(second.now, first.cancels[0]))
+			return second
+		}},
+		{"at its entry, before another one is linked", func(t *testing.T, first, second *harness) *harness {
+			first.perform(first.scheduler.Cancel(first.now, first.scheduler.Job(testQueue, "a")))
+			first.now += clock.Second
+			for _, c := range first.scheduler.Cancels(first.now) {
+				second.perform(second.scheduler.HandleCancel(second.now, c))
+			}
+			return second
+		}},
+		{"at an entry that does not have it", func(t *testing.T, first, second *harness) *harness {
+			second.perform(second.scheduler.CancelUnknown(second.now, testQueue, "a"))
+			assert.Equal(t, len(second.cancels), 1)
+			first.perform(first.scheduler.HandleCancel(first.now, second.cancels[0]))
+			return first
+		}},
+		{"at an entry that does not have it, submitted there once more", func(_ *testing.T, first, second *harness) *harness {
+			second.perform(second.scheduler.CancelUnknown(second.now, testQueue, "a"))
+			first.perform(first.scheduler.HandleCancel(first.now, second.cancels[0]))
+			return second
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := newHarness("d1"), newHarness("d1")
+			first.enroll("r1", "d1")
+			second.enroll("r1", "d1")
+			first.submit("a", 1, 100, 0)
+			assert.Equal(t, len(first.takeOrders()), 1)
+			again := c.cancel(t, first, second)
+			assert.Equal(t, first.answers["a"].Result, lavendercourse.JobCancelled)
+			assert.Equal(t, len(first.recalled), 1)
+			again.now += 4 * clock.Second
+			again.report("r1", capacity)
+			j, a := again.submit("a", 1, 100, 0)
+			assert.Assert(t, j == nil)
+			assert.Equal(t, a.Result, lavendercourse.JobCancelled)
+			assert.Equal(t, len(again.takeOrders()), 0)
+
+			// Cancels are kept for 15 s.
+			again.now += 11 * clock.Second
+			again.report("r1", capacity)
+			j, _ = again.submit("a", 1, 100, 0)
+			assert.Assert(t, j != nil, "the cancel has expired")
+			assert.Equal(t, len(again.scheduler.Cancels(again.now)), 0)
+		})
+	}
+}
+
+// Guards against a cancel that ends another job with the same id, or replaces the answer of one that has ended.
+func TestCancelOfAnotherJob(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		ended bool
+		want  lavendercourse.JobResult
+	}{{"running", false, 0}, {"completed", true, lavendercourse.JobCompleted}} {
+		t.Run(c.name, func(t *testing.T) {
+			other, h := newHarness("d1"), newHarness("d1")
+			other.submit("a", 2, 100, 0)
+			other.perform(other.scheduler.Cancel(other.now, other.scheduler.Job(testQueue, "a")))
+			h.enroll("r1", "d1")
+			h.submit("a", 1, 100, 0)
+			if c.ended {
+				h.endRun(h.takeOrders()[0], lavendercourse.EndDone, capacity)
+			}
+			h.perform(h.scheduler.HandleCancel(h.now, other.cancels[0]))
+			assert.Equal(t, h.answers["a"].Result, c.want)
+			if c.ended {
+				_, a := h.submit("a", 1, 100, 0)
+				assert.Equal(t, a.Result, c.want)
+			}
+		})
+	}
+}
--- a/queue/config.go
+++ b/queue/config.go
@@ -99,7 +99,7 @@
 }
 
 // Action is something that a Scheduler asks its entry to do: SendOrder, SendRecall, LogSilentRunner, LogCrashingTask,
-// ShareVerdict or AnswerCallers.
+// ShareVerdict, ShareCancel or AnswerCallers.
 type Action interface{ action() }
 
 // SendOrder asks the entry to send an order to a runner.
@@ -146,6 +146,11 @@
 	Verdict message.Verdict
 }
 
+// ShareCancel asks the entry to tell all other entries of a job that its caller has cancelled.
+type ShareCancel struct {
+	Job message.CancelledJob
+}
+
 // AnswerCallers asks the entry to answer the callers of a job.
 type AnswerCallers struct {
 	Job    *Job
@@ -157,4 +162,5 @@
 func (LogSilentRunner) action() {}
 func (LogCrashingTask) action() {}
 func (ShareVerdict) action()    {}
+func (ShareCancel) action()     {}
 func (AnswerCallers) action()   {}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -31,7 +31,8 @@
 type endedJob struct {
 	key       string
 	runNumber int
-	// answer is the answer that the callers got, and digest that of the submission, see digestOf.
+	// answer is the answer that the callers got, and digest that of the submission, see digestOf. It is 0 for a job that was
+	// cancelled where it was not known.
 	answer  lavendercourse.JobAnswer
 	digest  uint64
 	expires clock.Millis
@@ -66,7 +67,8 @@
 	endedJobs map[string]*endedJob
 	// meanWork is the mean work per job of each queue by queue name, in thousandths of a core times ms.
 	meanWork map[string]float64
-	// expiring lists what is or was in endedJobs, the earliest to expire first.
+	// expiring lists what is or was in endedJobs, about the earliest to expire first: cancels that another entry has kept for
+	// a while expire before those in front of them.
 	expiring []*endedJob
 	// backlogged tells whether tasks were still waiting after the last dispatch.
 	backlogged bool
@@ -158,8 +160,8 @@
 		return nil, refusal(causeFull, MinCallerRetryDelay), nil
 	}
 	lastRunNumber := 0
-	if ended := s.endedJobs[q.Host+q.PathPrefix+id]; ended != nil {
-		if ended.final() && ended.digest == digestOf(submission) {
+	if ended := s.recentlyEnded(now, q.Host+q.PathPrefix+id); ended != nil {
+		if ended.final() && (ended.digest == 0 || ended.digest == digestOf(submission)) {
 			return nil, ended.answer, nil
 		}
 		lastRunNumber = ended.runNumber
@@ -177,7 +179,7 @@
 	}
 	s.ledger.Expire(now)
 	if a, refused := s.crashAnswer(j); refused {
-		s.retain(now, j, a)
+		s.retainJob(now, j, a)
 		return nil, a, nil
 	}
 	if s.contains(j.queue) {
@@ -249,11 +251,6 @@
 	return s.endJob(nil, now, j, lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeCallerGone})
 }
 
-// Cancel ends a job, recalls its runs and answers its callers that it was cancelled.
-func (s *Scheduler) Cancel(now clock.Millis, j *Job) []Action {
-	return s.endJob(nil, now, j, lavendercourse.JobAnswer{Result: lavendercourse.JobCancelled, Cause: causeCancelled})
-}
-
 // Enroll registers a runner or updates what it offers. On a new link, all runs that it had for this entry have ended
 // and their tasks wait again. sameLink is set if the runner repeats its enrollment on its current link.
 func (s *Scheduler) Enroll(now clock.Millis, e message.Enroll, sameLink bool) []Action {
@@ -399,7 +396,7 @@
 	}
 	j.ended = true
 	delete(s.jobs, j.key)
-	s.retain(now, j, a)
+	s.retainJob(now, j, a)
 	if j.waiting > 0 {
 		s.removeWaiting(j)
 	}
@@ -435,11 +432,23 @@
 	}
 }
 
-// retain keeps the run number and the answer of an ended job for endedJobRetention, and drops expired ones.
-func (s *Scheduler) retain(now clock.Millis, j *Job, a lavendercourse.JobAnswer) {
-	e := &endedJob{key: j.key, runNumber: j.maxRunNumber(), answer: a, digest: j.digest, expires: now + endedJobRetention}
+// recentlyEnded returns what is kept of the ended job with the given key, or nil.
+func (s *Scheduler) recentlyEnded(now clock.Millis, key string) *endedJob {
+	if e := s.endedJobs[key]; e != nil && e.expires > now {
+		return e
+	}
+	return nil
+}
+
+// retainJob keeps the run number and the answer of an ended job for endedJobRetention.
+func (s *Scheduler) retainJob(now clock.Millis, j *Job, a lavendercourse.JobAnswer) {
+	s.retain(now, &endedJob{key: j.key, runNumber: j.maxRunNumber(), answer: a, digest: j.digest, expires: now + endedJobRetention})
+}
+
+// retain keeps an ended job until it expires, and drops expired ones.
+func (s *Scheduler) retain(now clock.Millis, e *endedJob) {
 	if e.runNumber > 0 || e.final() {
-		s.endedJobs[j.key] = e
+		s.endedJobs[e.key] = e
 		s.expiring = append(s.expiring, e)
 	}
 	for len(s.expiring) > 0 && s.expiring[0].expires <= now {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -37,6 +37,7 @@
 	lostOrders int
 	verdicts   []message.Verdict
 	recalled   []lavendercourse.RunID
+	cancels    []message.CancelledJob
 	// crashed counts the crashes of workers.
 	crashed int64
 	// silent names the runners of LogSilentRunner actions.
@@ -83,6 +84,8 @@
 			h.recalled = append(h.recalled, a.Recall.Runs...)
 		case queue.LogSilentRunner:
 			h.silent = append(h.silent, a.Runner)
+		case queue.ShareCancel:
+			h.cancels = append(h.cancels, a.Job)
 		case queue.ShareVerdict:
 			h.verdicts = append(h.verdicts, a.Verdict)
 		case queue.AnswerCallers:
