--- a/queue/cancel_test.go
+++ b/queue/cancel_test.go
@@ -24,7 +24,7 @@
 			second.perform(second.scheduler.HandleCancel(second.now, first.cancels[0]))
 			return second
 		}},
-		{"at its entry, before another one is linked", func(t *testing.T, first, second *harness) *harness {
+		{"at its entry, before another one is linked", func(_ *testing.T, first, second *harness) *harness {
 			first.perform(first.scheduler.Cancel(first.now, first.scheduler.Job(testQueue, "a")))
 			first.now += clock.Second
 			for _, c := range first.scheduler.Cancels(first.now) {
