Bound the cancels that an entry keeps and sends at once

Cancels of jobs that an entry does not have are kept for 15 s, so callers that cancel jobs which do not exist could fill the memory of all gateways, and a new link could get a frame beyond the largest size.

Fix: no more than 65,536 ended jobs, about 13 MB, and 1,000 cancels in a frame.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -38,6 +38,8 @@
 	// 1.5 s, it is the time after which a gateway notices that its connection is silent. Operators allow 3 s until the
 	// newest configuration is in force after that.
 	longPollTimeout = clock.Second
+	// maxCancelsPerFrame bounds the size of a frame of cancelled jobs to about 100 KB.
+	maxCancelsPerFrame = 1000
 	// storeRetryInterval is the time in ms between two reads of a store that does not answer.
 	storeRetryInterval = 400 * clock.Millis(1)
 	// announceRetryInterval is the time in ms between two attempts to write this gateway's address to the store, or
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -107,11 +107,12 @@
 			return err
 		}
 	}
-	cancels := g.scheduler.Cancels(g.cfg.Clock.Now())
-	if len(cancels) == 0 {
-		return nil
+	for cancels := range slices.Chunk(g.scheduler.Cancels(g.cfg.Clock.Now()), maxCancelsPerFrame) {
+		if err := l.Send(message.TypeCancel, 0, message.Cancel{Jobs: cancels}); err != nil {
+			return err
+		}
 	}
-	return l.Send(message.TypeCancel, 0, message.Cancel{Jobs: cancels})
+	return nil
 }
 
 // addPeerLink registers a link that the named gateway dialed. Only one link is kept between two gateways: if both have
--- a/queue/cancel.go
+++ b/queue/cancel.go
@@ -9,6 +9,10 @@
 	"github.com/lavendercourse/lavendercourse/route"
 )
 
+// maxKeptCancels is the number of ended jobs from which on no cancels of jobs that the entry does not have are kept. Each takes
+// about 200 bytes, and callers may cancel jobs that do not exist.
+const maxKeptCancels = 65536
+
 // cancelledAnswer is the answer to the callers of a cancelled job.
 var cancelledAnswer = lavendercourse.JobAnswer{Result: lavendercourse.JobCancelled, Cause: causeCancelled}
 
@@ -33,6 +37,10 @@
 		}
 		return s.endJob(nil, now, j, cancelledAnswer)
 	}
+	s.dropExpired(now)
+	if len(s.endedJobs) >= maxKeptCancels {
+		return nil
+	}
 	e := &endedJob{key: c.Key, answer: cancelledAnswer, digest: c.Digest, expires: now + min(c.Remaining, endedJobRetention)}
 	if old := s.recentlyEnded(now, c.Key); old != nil {
 		if old.final() {
--- a/queue/cancel_test.go
+++ b/queue/cancel_test.go
@@ -1,12 +1,14 @@
 package queue_test
 
 import (
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/message"
 )
 
 // Guards against a cancelled job that starts at another entry, because its submission arrives there once more or because the
@@ -95,3 +97,17 @@
 		})
 	}
 }
+
+// Guards against callers that fill the memory of all entries by cancels of jobs that do not exist.
+func TestKeptCancelsAreBounded(t *testing.T) {
+	const limit = 65536
+	h := newHarness("d1")
+	for i := range limit + 100 {
+		h.scheduler.HandleCancel(h.now, message.CancelledJob{Key: strconv.Itoa(i), Remaining: 15 * clock.Second})
+	}
+	assert.Equal(t, len(h.scheduler.Cancels(h.now)), limit)
+	h.now += 15 * clock.Second
+	h.scheduler.HandleCancel(h.now, message.CancelledJob{Key: "later", Remaining: 15 * clock.Second})
+	h.scheduler.HandleCancel(h.now, message.CancelledJob{Key: "later still", Remaining: 15 * clock.Second})
+	assert.Equal(t, len(h.scheduler.Cancels(h.now)), 2, "expired cancels still take up the room")
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -451,6 +451,11 @@
 		s.endedJobs[e.key] = e
 		s.expiring = append(s.expiring, e)
 	}
+	s.dropExpired(now)
+}
+
+// dropExpired drops the ended jobs that have expired.
+func (s *Scheduler) dropExpired(now clock.Millis) {
 	for len(s.expiring) > 0 && s.expiring[0].expires <= now {
 		if s.endedJobs[s.expiring[0].key] == s.expiring[0] {
 			delete(s.endedJobs, s.expiring[0].key)
