Let callers of the soak give up during cuts, and silence its store

Each third caller now waits for 1.5 s, a silent proxy loses the end of a connection, and the open connections to the store go silent every 1 to 5 s. No check has changed.

--- a/runner/fuzz_test.go
+++ b/runner/fuzz_test.go
@@ -67,6 +67,7 @@
 		message.TypeOrder:         message.Order{Stamp: 1, Job: "j", Need: lavendercourse.Resources{CPU: 1}, Runs: []lavendercourse.RunID{run, run}},
 		message.TypeRecall:        message.Recall{Runs: []lavendercourse.RunID{run, run}},
 		message.TypeReportAck:     message.ReportAck{Stamp: 1 << 60},
+		message.TypeDrain:         message.Drain{NextOffset: 1 << 63, Drained: true},
 	} {
 		b, err := message.Encode(t, 0, body)
 		if err != nil {
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -16,8 +16,10 @@
 const (
 	// resendPause is the time before a caller resubmits its job after a broken connection, a 502 or a 504.
 	resendPause = 1300 * time.Millisecond
-	// callerTimeout is how long a caller waits for an answer.
-	callerTimeout = 6 * time.Second
+	// callerTimeout is how long a caller waits for an answer, and shortCallerTimeout how long each third caller does: it gives up
+	// during a cut, and submits its job elsewhere.
+	callerTimeout      = 6 * time.Second
+	shortCallerTimeout = 1500 * time.Millisecond
 	// maxTries is the maximum number of times that a caller submits a job.
 	maxTries = 3
 	// maxCallerPause is the upper bound of a caller's random pause between two jobs.
@@ -90,6 +92,9 @@
 func (c *callers) submitAll(ctx context.Context, number int) {
 	rng := rand.New(rand.NewPCG(c.site.cfg.Seed, uint64(100+number)))
 	client := &http.Client{Transport: &http.Transport{}, Timeout: callerTimeout}
+	if number%3 == 0 {
+		client.Timeout = shortCallerTimeout
+	}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c.submit(client, rng, c.newJob(rng, c.site.cfg.Crashes))
@@ -151,7 +156,7 @@
 	}
 	req.Host = host
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	req.Header.Set("Deadline-Ms", fmt.Sprint(client.Timeout.Milliseconds()))
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, "", err
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -17,7 +17,7 @@
 	Pass Fault = iota
 	// Delay delays all data by proxyDelay.
 	Delay
-	// Silence drops data in both directions and keeps connections open.
+	// Silence drops data in both directions and keeps connections open. That a dialer closes its end is lost as well.
 	Silence
 	// OneWay drops data sent to the dialing side.
 	OneWay
@@ -99,8 +99,13 @@
 	p.open[from], p.open[to] = true, true
 	p.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go func() { p.copy(to, from, false); done <- struct{}{} }()
-	go func() { p.copy(from, to, true); done <- struct{}{} }()
+	forward := func(to, from net.Conn, toDialer bool) {
+		if p.copy(to, from, toDialer) {
+			done <- struct{}{}
+		}
+	}
+	go forward(to, from, false)
+	go forward(from, to, true)
 	<-done
 }
 
@@ -111,24 +116,27 @@
 	_ = conn.Close()
 }
 
-func (p *Proxy) copy(to io.Writer, from io.Reader, toDialer bool) {
+// copy forwards one direction until it ends, and reports whether the other side has to be told.
+func (p *Proxy) copy(to io.Writer, from io.Reader, toDialer bool) bool {
 	b := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(b)
-		if err != nil {
-			return
-		}
 		p.mu.Lock()
 		fault := p.fault
 		p.mu.Unlock()
 		switch {
+		case err != nil && fault == Silence && !toDialer:
+			// The other side learns of it when it sends.
+			return false
+		case err != nil:
+			return true
 		case fault == Silence, fault == OneWay && toDialer:
 			continue
 		case fault == Delay:
 			time.Sleep(proxyDelay)
 		}
 		if _, err := to.Write(b[:n]); err != nil {
-			return
+			return true
 		}
 	}
 }
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -177,6 +177,7 @@
 type site struct {
 	cfg           Config
 	store         *fleet.Store
+	storeListener *fleet.Listener
 	ledger        *fleet.Ledger
 	gateways      []*process
 	runners       []*process
@@ -199,7 +200,8 @@
 	}
 	server := &http.Server{Handler: s.store.Handler()}
 	s.servers = append(s.servers, server)
-	go func() { _ = server.Serve(l) }()
+	s.storeListener = fleet.NewListener(l)
+	go func() { _ = server.Serve(s.storeListener) }()
 	s.publish()
 	ports, release, err := reservePorts(3*cfg.Gateways + cfg.Runners)
 	if err != nil {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -78,6 +78,7 @@
 	if cfg.Crashes > 0 {
 		wg.Go(func() { s.resizeWorkers(load) })
 	}
+	wg.Go(func() { s.silenceStore(load) })
 	faults := s.injectFaults(ctx)
 	end()
 	wg.Wait()
@@ -214,6 +215,15 @@
 	}, f.Unanswered+f.LostAnswers > 0}
 }
 
+// silenceStore makes the open connections to the store silent from time to time until ctx ends.
+func (s *site) silenceStore(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, 4))
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(1000+rng.IntN(4000)) * time.Millisecond)
+		s.storeListener.Silence()
+	}
+}
+
 // resizeWorkers changes the capacities of workers until ctx ends.
 func (s *site) resizeWorkers(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.cfg.Seed, 3))
