Add cuts that hold data to the soak

The proxies of the soak dropped what was sent during a cut, so that no request, order or answer ever arrived late, and no fault cut a gateway off from callers and runners at once. Whole gateways are cut off for up to 5 s, often twice in a row, and workers from their runners.

Violations name the runs and the times of their starts, so that they are found in the logs.

--- a/standin/fleet/ledger.go
+++ b/standin/fleet/ledger.go
@@ -7,11 +7,21 @@
 	"time"
 )
 
+// violationTime is the format of times in violations: those of the logs in UTC.
+const violationTime = "15:04:05.000"
+
+// runSite is a run of a task: its number, its worker and the time of its start.
+type runSite struct {
+	worker string
+	run    int
+	began  time.Time
+}
+
 // Ledger records the runs of all workers and the guarantees that were violated.
 type Ledger struct {
 	mu sync.Mutex
-	// running holds the worker that runs a task, by task.
-	running    map[string]string
+	// running holds the present run of a task, by task.
+	running    map[string]runSite
 	violations []string
 	// done counts the successful runs, by task.
 	done map[string]int
@@ -28,7 +38,7 @@
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{
-		running: map[string]string{}, done: map[string]int{}, started: map[string]bool{}, crashes: map[string][]time.Time{},
+		running: map[string]runSite{}, done: map[string]int{}, started: map[string]bool{}, crashes: map[string][]time.Time{},
 		failures: map[string]int{}, crashedRuns: map[string]int{},
 	}
 }
@@ -40,13 +50,15 @@
 	return append([]string(nil), l.violations...)
 }
 
-func (l *Ledger) begin(task, worker string) {
+func (l *Ledger) begin(task, worker string, run int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if other := l.running[task]; other != "" {
-		l.violations = append(l.violations, fmt.Sprintf("task %s runs on %s and %s at the same time", task, other, worker))
+	now := time.Now()
+	if other, ok := l.running[task]; ok {
+		l.violations = append(l.violations, fmt.Sprintf("task %s runs on %s and %s at the same time: run %d since %s, run %d since %s", task,
+			other.worker, worker, other.run, other.began.Format(violationTime), run, now.Format(violationTime)))
 	}
-	l.running[task] = worker
+	l.running[task] = runSite{worker: worker, run: run, began: now}
 	job, _, _ := strings.Cut(task, ".")
 	l.started[job] = true
 }
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -448,7 +448,7 @@
 	if w.cfg.Crash != nil {
 		run.crashAt, run.bad = CrashPoint(c.Spec, c.Task)
 	}
-	w.ledger.begin(c.Task, w.cfg.ID)
+	w.ledger.begin(c.Task, w.cfg.ID, c.Run)
 	w.running[c.Task] = run
 	w.highestRun[c.Task] = c.Run
 	w.starts++
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -91,10 +92,14 @@
 // submitAll submits jobs one after another until ctx ends. It reuses connections until they break.
 func (c *callers) submitAll(ctx context.Context, number int) {
 	rng := rand.New(rand.NewPCG(c.site.cfg.Seed, uint64(100+number)))
-	client := &http.Client{Transport: &http.Transport{}, Timeout: callerTimeout}
-	if number%3 == 0 {
+	transport := &http.Transport{}
+	client := &http.Client{Transport: transport, Timeout: callerTimeout}
+	if number%3 == 0 || c.site.cfg.Cuts && number%3 == 1 {
 		client.Timeout = shortCallerTimeout
 	}
+	if c.site.cfg.Cuts && number%2 == 0 {
+		transport.DialContext = dialResetting
+	}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c.submit(client, rng, c.newJob(rng, c.site.cfg.Crashes))
@@ -102,6 +107,16 @@
 	}
 }
 
+// dialResetting opens a connection that is reset when it is closed, so that a cut loses what was sent on it and its end.
+func dialResetting(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// The error is ignored: the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	return conn, err
+}
+
 // submit submits a job up to maxTries times until it is answered, and checks the answer.
 func (c *callers) submit(client *http.Client, rng *rand.Rand, j job) {
 	refused := true
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -111,6 +111,8 @@
 type workerSite struct {
 	cfg     fleet.WorkerConfig
 	address string
+	// proxy forwards the calls of the runner. It is nil in soaks without cuts.
+	proxy *Proxy
 
 	mu     sync.Mutex
 	worker *fleet.Worker
@@ -129,9 +131,20 @@
 	w.server = &http.Server{Handler: w.worker.Handler()}
 	server := w.server
 	go func() { _ = server.Serve(resettingListener{listener}) }()
+	if w.proxy != nil {
+		return w.proxy.listen()
+	}
 	return nil
 }
 
+// callAddress returns the address at which the runner calls the worker.
+func (w *workerSite) callAddress() string {
+	if w.proxy != nil {
+		return w.proxy.Address()
+	}
+	return w.address
+}
+
 // endProcess ends the runs but leaves the address open, where nothing is answered any more, so that the end is not seen.
 func (w *workerSite) endProcess() {
 	w.mu.Lock()
@@ -146,6 +159,9 @@
 	// ordered elsewhere in between, which the soak with seed 48 reported as two concurrent runs.
 	w.worker.Close()
 	_ = w.server.Close()
+	if w.proxy != nil {
+		w.proxy.Refuse()
+	}
 }
 
 func (w *workerSite) resize(cpu int) {
@@ -210,11 +226,11 @@
 	defer release()
 	var seeds []string
 	for i := range cfg.Gateways {
-		callerProxy, err := NewProxy(ports[3*i])
+		callerProxy, err := NewProxy(ports[3*i], cfg.proxyDelay())
 		if err != nil {
 			return nil, err
 		}
-		linkProxy, err := NewProxy(ports[3*i+1])
+		linkProxy, err := NewProxy(ports[3*i+1], cfg.proxyDelay())
 		if err != nil {
 			return nil, err
 		}
@@ -230,6 +246,11 @@
 		if err := w.start(s.ledger); err != nil {
 			return nil, err
 		}
+		if cfg.Cuts {
+			if w.proxy, err = NewProxy(w.address, cfg.proxyDelay()); err != nil {
+				return nil, err
+			}
+		}
 		s.workers = append(s.workers, w)
 	}
 	// Proxies and workers listen already, so they cannot take a port that is reserved for a process.
@@ -247,7 +268,7 @@
 		name := fmt.Sprintf("r%d", i)
 		err := s.startProcess(&s.runners, name, "runner", fmt.Sprintf(
 			"[place]\nregion = here\ndomain = d%d\n[runner]\nname = %s\nworker = %s\nreports = %s\nseeds = %s\n[store]\naddress = %s\n",
-			i%domains, name, s.workers[i].address, ports[3*cfg.Gateways+i], strings.Join(seeds, ","), l.Addr()))
+			i%domains, name, s.workers[i].callAddress(), ports[3*cfg.Gateways+i], strings.Join(seeds, ","), l.Addr()))
 		if err != nil {
 			return nil, err
 		}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -42,7 +42,17 @@
 	// Crashes is the share of jobs with a task that crashes its workers. If it is not 0, capacities change, and there are more
 	// kinds of faults.
 	Crashes float64
-	Out     io.Writer
+	// Cuts adds cuts that hold data: of single connections, of whole gateways, and of workers from their runners.
+	Cuts bool
+	Out  io.Writer
+}
+
+// proxyDelay returns the delay of the fault Delay.
+func (c Config) proxyDelay() time.Duration {
+	if c.Cuts {
+		return cutDelay
+	}
+	return proxyDelay
 }
 
 // Report is the result of a soak.
@@ -144,6 +154,9 @@
 	if s.cfg.Crashes > 0 && rng.IntN(3) == 0 {
 		return s.drawCrashFault(rng, span)
 	}
+	if s.cfg.Cuts && rng.IntN(2) == 0 {
+		return s.drawCut(rng)
+	}
 	isRunner := slices.Contains(s.runners, p)
 	switch kind {
 	case 0:
@@ -151,11 +164,7 @@
 	case 1:
 		return fault{"stop " + p.name, func() { s.restart(p, syscall.SIGTERM, span/4) }, isRunner}
 	case 2, 3:
-		return fault{fmt.Sprintf("pause %s for %s", p.name, span), func() {
-			p.signal(syscall.SIGSTOP)
-			time.Sleep(span)
-			p.signal(syscall.SIGCONT)
-		}, true}
+		return fault{fmt.Sprintf("pause %s for %s", p.name, span), func() { s.pause(p, span) }, true}
 	case 4:
 		return fault{"reset connections", proxy.Reset, false}
 	case 5:
@@ -234,6 +243,12 @@
 	}
 }
 
+func (s *site) pause(p *process, span time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(span)
+	p.signal(syscall.SIGCONT)
+}
+
 func (s *site) restart(p *process, sig syscall.Signal, pause time.Duration) {
 	p.signal(sig)
 	// A process that another fault paused must continue to handle the signal.
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -27,6 +27,21 @@
 	}
 }
 
+// Guards against two runs of a task at once while whole gateways are cut off, and the requests and the leaving of their callers
+// arrive late.
+func TestGatewaysThatAreCutOff(t *testing.T) {
+	program := buildProgram(t)
+	for _, seed := range []uint64{101, 106} {
+		r, err := soak.Run(t.Context(), soak.Config{
+			Program: program, Dir: t.TempDir(), Seed: seed, Span: 25 * time.Second, Gateways: 4, Runners: 11, Callers: 50, Cuts: true,
+			Out: io.Discard,
+		})
+		assert.NilError(t, err, "seed %d", seed)
+		assert.Equal(t, len(r.Violations), 0, "seed %d: %q", seed, r.Violations)
+		assert.Assert(t, r.Faults > 0 && r.Completed > 0, "%+v", r)
+	}
+}
+
 func buildProgram(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "lavendercourse")
 	out, err := exec.Command("go", "build", "-o", program, "../../cmd/lavendercourse").CombinedOutput()
