--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	// last pull. aheadPeer is the name of the gateway that sent the newest such digest.
 	aheadSince clock.Millis
 	aheadPeer  string
+	contact    contact
 	// contained holds the contained queues as last logged.
 	contained []message.Verdict
 	stopping  bool
@@ -82,10 +83,12 @@
 		Mu: &g.mu, Roster: g.roster, Clock: cfg.Clock, Log: g.log, Link: g.linkConfig(peerLinkTimeout),
 		Hello: message.Hello{Kind: message.KindEntry, Name: cfg.Name, Address: cfg.Advertise, Domain: cfg.Domain},
 	})
+	g.contact = contact{heardAt: cfg.Clock.Now(), since: cfg.Clock.Now()}
 	g.metrics.registry.Collect(g.collect)
 	g.metrics.registry.RegisterDroppedLines(cfg.DroppedLogLines)
 	tree := daemon.NewSupervisor(cfg.Name, cfg.Logger)
 	g.callerServer = g.newServer(g.closeWhenStopping(cfg.Serve(jobService{g})))
+	g.callerServer.ConnContext = g.withCallerConn
 	tree.Add(daemon.NewHTTPService("callers", g.callerServer, cfg.Callers))
 	tree.Add(daemon.NewHTTPService("ready", g.newServer(g.readyHandler()), cfg.Ready))
 	tree.Add(daemon.NewHTTPService("links", g.newServer(g.linkHandler()), cfg.Links))
--- a/gateway/jobservice.go
+++ b/gateway/jobservice.go
@@ -37,7 +37,8 @@
 		pending = &pendingAnswer{done: make(chan struct{})}
 		s.pendingAnswers[j] = pending
 		s.log.On(event.JobAccepted).Str("job", id).Str("queue", q.Name).Int64("version", s.routes.Version()).Int("tasks", j.Tasks()).
-			Int64("due", int64(j.Due()-now)).Int64("patience", int64(submission.CallerTimeout)).Int("waiting", s.scheduler.JobsWithWaitingTasks()).Send()
+			Int64("due", int64(j.Due()-now)).Int64("patience", int64(submission.CallerTimeout)).Int("waiting", s.scheduler.JobsWithWaitingTasks()).
+			Int64("open", int64(callerConnOf(ctx).age(now))).Int64("contact", int64(now-s.contact.since)).Send()
 	}
 	s.perform(actions)
 	s.mu.Unlock()
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -50,6 +50,7 @@
 func (g *Gateway) HandleFrame(l *link.Link, f message.Frame) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordFrame(g.cfg.Clock.Now())
 	switch f.Type {
 	case message.TypeHello:
 		return g.handleHello(l, f)
--- a/room/config.go
+++ b/room/config.go
@@ -146,7 +146,9 @@
 // StartRun instructs the runner to start a run on the worker and to pass the answer to Table.HandleStartReply.
 type StartRun struct {
 	Worker string
-	Order  lavendercourse.Order
+	// Entry is the entry that ordered the run.
+	Entry string
+	Order lavendercourse.Order
 	// Timeout is the time in ms to wait for the answer.
 	Timeout clock.Millis
 }
--- a/room/room.go
+++ b/room/room.go
@@ -385,7 +385,7 @@
 	if run.startsSent == 1 {
 		run.workerClockAtStart, run.firstSentAt = t.workerClock, now
 	}
-	return StartRun{Worker: t.worker.ID, Timeout: t.calls.timeout(), Order: lavendercourse.Order{
+	return StartRun{Worker: t.worker.ID, Entry: run.entry, Timeout: t.calls.timeout(), Order: lavendercourse.Order{
 		Run: run.id, Payload: run.payload, LeaseExpiry: t.grantLease(now), Token: t.token,
 	}}
 }
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -315,7 +315,7 @@
 // startRun sends a start to the worker in the background and passes the answer to the run table.
 func (r *Runner) startRun(a room.StartRun) {
 	r.log.On(event.RunStarted).Str("job", a.Order.Run.Job).Int("step", a.Order.Run.Step).Int("task", a.Order.Run.Task).
-		Int("run", a.Order.Run.Run).Int64("token", a.Order.Token).Int64("until", int64(a.Order.LeaseExpiry)).Int("free", r.table.Free().CPU).Send()
+		Int("run", a.Order.Run.Run).Str("entry", a.Entry).Int64("token", a.Order.Token).Int64("until", int64(a.Order.LeaseExpiry)).Int("free", r.table.Free().CPU).Send()
 	r.metrics.runStarted()
 	var status lavendercourse.WorkerStatus
 	var reply lavendercourse.Reply
