Claim jobs at the other gateways before another one may run them

A gateway took a request that a cut had held up and counted the time limit of its caller from the arrival. The caller left, which a further cut hid, and submitted the job to another gateway 1.3 s later, while the first one ordered its tasks anew.

The cause is a decision on the word of one participant of unknown age: that a caller waits. The first gateway can't tell an old request from a new one, nor a slow caller from one that has left, and the second one does not know of the first.

Now a gateway claims each job that it has had for a second at the other gateways and orders nothing more for it until they have answered. No other gateway can have the job before, since callers come again 1.3 s after they have left. What arrives within a second after a gap of a second or more without any frame is claimed at once. The gateway that got the job last keeps it; the other one ends it and answers once the ends of its runs are known. Jobs that end within a second cost nothing.

Evidence: TestJobSubmittedElsewhereIsGivenUp (proof/fleet) failed on the logic before: both tasks ran on w-r0 and w-r1 at the same time.

--- /dev/null
+++ b/gateway/claim.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"slices"
+
+	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/queue"
+)
+
+// maxClaimsPerFrame bounds the size of a frame of claims to about 100 KB.
+const maxClaimsPerFrame = 1000
+
+// shareClaims sends claims to another gateway. g.mu must be held.
+func (g *Gateway) shareClaims(a queue.ShareClaims) {
+	p := g.peers[a.Peer]
+	if p == nil {
+		return
+	}
+	for jobs := range slices.Chunk(a.Jobs, maxClaimsPerFrame) {
+		// The error is ignored: the jobs are claimed again on the next link.
+		_ = p.link.Send(message.TypeClaim, 0, message.Claim{Jobs: jobs})
+	}
+}
+
+// answerClaims answers claims of another gateway. g.mu must be held.
+func (g *Gateway) answerClaims(a queue.AnswerClaims) {
+	p := g.peers[a.Peer]
+	if p == nil {
+		return
+	}
+	// The error is ignored: the other gateway claims its jobs again on the next link.
+	_ = p.link.Send(message.TypeClaimAnswer, 0, a.Answer)
+}
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -8,32 +8,9 @@
 	"github.com/lavendercourse/lavendercourse/event"
 )
 
-// maxContactGap is the time in ms without a frame after which a gateway counts as out of contact. Runners send reports every
-// 300 ms each.
-const maxContactGap = clock.Second
-
-// contact records when a gateway was out of contact with all runners and other gateways, because it was cut off, paused or
-// suspended.
-type contact struct {
-	// heardAt is the time in ms of the last frame, since that of the first frame after the last gap, or of the start.
-	heardAt clock.Millis
-	since   clock.Millis
-}
-
-// heard records a frame. It returns the length in ms of the gap that ends with it, or 0.
-func (c *contact) heard(now clock.Millis) clock.Millis {
-	gap := now - c.heardAt
-	c.heardAt = now
-	if gap < maxContactGap {
-		return 0
-	}
-	c.since = now
-	return gap
-}
-
-// recordFrame records that a frame has arrived on a link, and logs the end of a gap. g.mu must be held.
-func (g *Gateway) recordFrame(now clock.Millis) {
-	if gap := g.contact.heard(now); gap > 0 {
+// recordContact records that a frame has arrived on a link, and logs the end of a gap. g.mu must be held.
+func (g *Gateway) recordContact(now clock.Millis) {
+	if gap := g.scheduler.RecordContact(now); gap > 0 {
 		g.log.On(event.ContactRegained).Int64("silent", int64(gap)).Int("jobs", g.scheduler.Jobs()).Send()
 	}
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -109,6 +109,8 @@
 
 // handlePeerFrame handles a frame from another gateway. g.mu must be held.
 func (g *Gateway) handlePeerFrame(l *link.Link, name string, f message.Frame) error {
+	now := g.cfg.Clock.Now()
+	g.scheduler.PeerHeard(now, name)
 	switch f.Type {
 	case message.TypeDigest:
 		var d message.Digest
@@ -120,7 +122,7 @@
 			return nil
 		}
 		if g.aheadSince == 0 {
-			g.aheadSince = g.cfg.Clock.Now()
+			g.aheadSince = now
 		}
 		g.aheadPeer = name
 	case message.TypeVerdict:
@@ -128,15 +130,27 @@
 		if err := f.DecodeBody(&v); err != nil {
 			return err
 		}
-		g.scheduler.HandleVerdict(g.cfg.Clock.Now(), v)
+		g.scheduler.HandleVerdict(now, v)
 	case message.TypeCancel:
 		var c message.Cancel
 		if err := f.DecodeBody(&c); err != nil {
 			return err
 		}
 		for _, job := range c.Jobs {
-			g.perform(g.scheduler.HandleCancel(g.cfg.Clock.Now(), job))
+			g.perform(g.scheduler.HandleCancel(now, job))
 		}
+	case message.TypeClaim:
+		var c message.Claim
+		if err := f.DecodeBody(&c); err != nil {
+			return err
+		}
+		g.perform(g.scheduler.HandleClaims(now, name, c.Jobs))
+	case message.TypeClaimAnswer:
+		var a message.ClaimAnswer
+		if err := f.DecodeBody(&a); err != nil {
+			return err
+		}
+		g.perform(g.scheduler.HandleClaimAnswer(now, name, a))
 	case message.TypePull:
 		var d message.Digest
 		if err := f.DecodeBody(&d); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,7 +46,6 @@
 	// last pull. aheadPeer is the name of the gateway that sent the newest such digest.
 	aheadSince clock.Millis
 	aheadPeer  string
-	contact    contact
 	// contained holds the contained queues as last logged.
 	contained []message.Verdict
 	stopping  bool
@@ -83,7 +82,6 @@
 		Mu: &g.mu, Roster: g.roster, Clock: cfg.Clock, Log: g.log, Link: g.linkConfig(peerLinkTimeout),
 		Hello: message.Hello{Kind: message.KindEntry, Name: cfg.Name, Address: cfg.Advertise, Domain: cfg.Domain},
 	})
-	g.contact = contact{heardAt: cfg.Clock.Now(), since: cfg.Clock.Now()}
 	g.metrics.registry.Collect(g.collect)
 	g.metrics.registry.RegisterDroppedLines(cfg.DroppedLogLines)
 	tree := daemon.NewSupervisor(cfg.Name, cfg.Logger)
--- a/gateway/jobservice.go
+++ b/gateway/jobservice.go
@@ -38,7 +38,10 @@
 		s.pendingAnswers[j] = pending
 		s.log.On(event.JobAccepted).Str("job", id).Str("queue", q.Name).Int64("version", s.routes.Version()).Int("tasks", j.Tasks()).
 			Int64("due", int64(j.Due()-now)).Int64("patience", int64(submission.CallerTimeout)).Int("waiting", s.scheduler.JobsWithWaitingTasks()).
-			Int64("open", int64(callerConnOf(ctx).age(now))).Int64("contact", int64(now-s.contact.since)).Send()
+			Int64("open", int64(callerConnOf(ctx).age(now))).Int64("contact", int64(s.scheduler.ContactAge(now))).Send()
+	}
+	if peer := j.AwaitedPeer(); peer != "" {
+		s.log.On(event.JobWaitsForPeer).Str("job", id).Str("peer", peer).Send()
 	}
 	s.perform(actions)
 	s.mu.Unlock()
@@ -126,6 +129,10 @@
 			g.shareVerdict(a.Verdict)
 		case queue.ShareCancel:
 			g.shareCancel(a.Job)
+		case queue.ShareClaims:
+			g.shareClaims(a)
+		case queue.AnswerClaims:
+			g.answerClaims(a)
 		case queue.AnswerCallers:
 			g.answerCallers(a)
 		}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -50,7 +50,7 @@
 func (g *Gateway) HandleFrame(l *link.Link, f message.Frame) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.recordFrame(g.cfg.Clock.Now())
+	g.recordContact(g.cfg.Clock.Now())
 	switch f.Type {
 	case message.TypeHello:
 		return g.handleHello(l, f)
@@ -98,21 +98,23 @@
 	if err := l.Send(message.TypeWelcome, 0, message.Welcome{Name: g.cfg.Name, Peers: g.roster.Peers()}); err != nil || h.Kind == message.KindAgent {
 		return err
 	}
-	return g.sendShared(l)
+	return g.sendShared(l, h.Name)
 }
 
-// sendShared sends the contained queues and the cancelled jobs to a gateway that has been linked. g.mu must be held.
-func (g *Gateway) sendShared(l *link.Link) error {
+// sendShared sends the contained queues, the cancelled jobs and the claims to a gateway that has been linked. g.mu must be held.
+func (g *Gateway) sendShared(l *link.Link, name string) error {
+	now := g.cfg.Clock.Now()
 	for _, v := range g.scheduler.Verdicts() {
 		if err := l.Send(message.TypeVerdict, 0, v); err != nil {
 			return err
 		}
 	}
-	for cancels := range slices.Chunk(g.scheduler.Cancels(g.cfg.Clock.Now()), maxCancelsPerFrame) {
+	for cancels := range slices.Chunk(g.scheduler.Cancels(now), maxCancelsPerFrame) {
 		if err := l.Send(message.TypeCancel, 0, message.Cancel{Jobs: cancels}); err != nil {
 			return err
 		}
 	}
+	g.perform(g.scheduler.PeerLinked(now, name))
 	return nil
 }
 
@@ -155,7 +157,7 @@
 	g.roster.AddLink(w.Name)
 	g.peers[w.Name] = &peerLink{link: l, rosterVersion: g.roster.Version()}
 	g.log.On(event.LinkOpened).Str("peer", w.Name).Send()
-	if err := g.sendShared(l); err != nil {
+	if err := g.sendShared(l, w.Name); err != nil {
 		return err
 	}
 	return l.Send(message.TypePull, 0, message.Digest{NextOffset: g.routes.Next()})
@@ -174,6 +176,7 @@
 		if p := g.peers[remote.name]; p != nil && p.link == l {
 			delete(g.peers, remote.name)
 			g.roster.RemoveLink(remote.name)
+			g.scheduler.PeerUnlinked(remote.name)
 			l.LogEnd(g.cfg.Logger, remote.name)
 		}
 		return
--- a/message/frame.go
+++ b/message/frame.go
@@ -63,15 +63,18 @@
 	TypeIsolatedOrder Type = 30
 	TypeDrain         Type = 31
 	TypeCancel        Type = 32
+	TypeClaim         Type = 33
+	TypeClaimAnswer   Type = 34
 )
 
 // TypeCount is one more than the highest type number.
-const TypeCount = 33
+const TypeCount = 35
 
 var typeNames = [TypeCount]string{
 	"unknown", "hello", "welcome", "beat", "renew", "start", "done", "stop", "leave", "resume", "pulse", "ack",
 	"forward", "reply", "ask", "heard", "fetch", "state", "offer", "enroll", "report", "order", "recall", "ended", "keep",
 	"digest", "pull", "records", "crash", "verdict", "isolate", "drain", "cancel",
+	"claim", "settle",
 }
 
 // String returns the name of the type, as used in metrics.
--- a/message/fuzz_test.go
+++ b/message/fuzz_test.go
@@ -21,7 +21,8 @@
 		message.TypeOrder: &message.Order{}, message.TypeRecall: &message.Recall{}, message.TypeEnded: &message.Ended{},
 		message.TypeReportAck: &message.ReportAck{}, message.TypeDigest: &message.Digest{}, message.TypePull: &message.Digest{},
 		message.TypeRecords: &message.Records{}, message.TypeCrash: &message.Crash{}, message.TypeVerdict: &message.Verdict{},
-		message.TypeDrain: &message.Drain{}, message.TypeCancel: &message.Cancel{},
+		message.TypeDrain: &message.Drain{}, message.TypeCancel: &message.Cancel{}, message.TypeClaim: &message.Claim{},
+		message.TypeClaimAnswer: &message.ClaimAnswer{},
 	}
 }
 
@@ -31,24 +32,26 @@
 	runs := []lavendercourse.RunID{{Job: "5c0e7a21d94b36f8", Task: 1, Run: 1}}
 	free := lavendercourse.Resources{CPU: 4000, Memory: 512}
 	return map[message.Type]any{
-		message.TypeHello:   message.Hello{Kind: message.KindAgent, Name: "a", Incarnation: "i", Slots: 8},
-		message.TypeWelcome: message.Welcome{Name: "e", Peers: []message.Peer{{Name: "e", Address: "127.0.0.1:1"}}},
-		message.TypeStart:   message.Start{Job: "own.0.tag", Task: 1, Attempt: 1, Payload: []byte("p"), Stamp: 5, Agent: "i"},
-		message.TypeDone:    message.Done{Job: "own.0.tag", Status: message.StatusDone, Result: []byte("r")},
-		message.TypeStop:    message.Stop{Tasks: tasks},
-		message.TypeResume:  message.Resume{Tasks: tasks},
-		message.TypePulse:   message.Pulse{Stamp: 1, Demand: []message.Demand{{Team: "t", Tasks: 3}}},
-		message.TypeEnroll:  message.Enroll{Name: "r", Worker: "w", Incarnation: 5, Capacity: free, Labels: []string{"a"}},
-		message.TypeReport:  message.Report{Stamp: 5, Free: free, AcceptsRuns: true},
-		message.TypeOrder:   message.Order{Stamp: 5, Job: "j", Payload: "p", Need: free, Estimate: 100, Runs: runs},
-		message.TypeRecall:  message.Recall{Stamp: 5, Runs: runs},
-		message.TypeEnded:   message.Ended{Report: message.Report{Stamp: 5}, Ends: []message.RunEnd{{Run: runs[0], Kind: 1}}},
-		message.TypeCrash:   message.Crash{Incarnation: 5, Ago: 100, Runs: []message.CrashedRun{{Run: runs[0], Age: 60}}},
-		message.TypeVerdict: message.Verdict{Service: "s", Queue: "q", Cause: "j", Crashes: []message.CrashID{{Runner: "r", Incarnation: 5}}},
-		message.TypeCancel:  message.Cancel{Jobs: []message.CancelledJob{{Key: "h/p/5c0e7a21d94b36f8", Digest: 7, Remaining: 100}}},
-		message.TypeDrain:   message.Drain{NextOffset: 4, Drained: true, Current: true},
-		message.TypeRecords: message.Records{Settings: []lavendercourse.KeyRecord{{Key: "config", Value: []byte("{}"), Offset: 3}}, End: 4},
-		message.TypeState:   message.State{Version: 1, Settings: []message.Setting{{Key: "domain.a", Value: "drained", Version: 1}}},
+		message.TypeHello:       message.Hello{Kind: message.KindAgent, Name: "a", Incarnation: "i", Slots: 8},
+		message.TypeWelcome:     message.Welcome{Name: "e", Peers: []message.Peer{{Name: "e", Address: "127.0.0.1:1"}}},
+		message.TypeStart:       message.Start{Job: "own.0.tag", Task: 1, Attempt: 1, Payload: []byte("p"), Stamp: 5, Agent: "i"},
+		message.TypeDone:        message.Done{Job: "own.0.tag", Status: message.StatusDone, Result: []byte("r")},
+		message.TypeStop:        message.Stop{Tasks: tasks},
+		message.TypeResume:      message.Resume{Tasks: tasks},
+		message.TypePulse:       message.Pulse{Stamp: 1, Demand: []message.Demand{{Team: "t", Tasks: 3}}},
+		message.TypeEnroll:      message.Enroll{Name: "r", Worker: "w", Incarnation: 5, Capacity: free, Labels: []string{"a"}},
+		message.TypeReport:      message.Report{Stamp: 5, Free: free, AcceptsRuns: true},
+		message.TypeOrder:       message.Order{Stamp: 5, Job: "j", Payload: "p", Need: free, Estimate: 100, Runs: runs},
+		message.TypeRecall:      message.Recall{Stamp: 5, Runs: runs},
+		message.TypeEnded:       message.Ended{Report: message.Report{Stamp: 5}, Ends: []message.RunEnd{{Run: runs[0], Kind: 1}}},
+		message.TypeCrash:       message.Crash{Incarnation: 5, Ago: 100, Runs: []message.CrashedRun{{Run: runs[0], Age: 60}}},
+		message.TypeVerdict:     message.Verdict{Service: "s", Queue: "q", Cause: "j", Crashes: []message.CrashID{{Runner: "r", Incarnation: 5}}},
+		message.TypeCancel:      message.Cancel{Jobs: []message.CancelledJob{{Key: "h/p/5c0e7a21d94b36f8", Digest: 7, Remaining: 100}}},
+		message.TypeClaim:       message.Claim{Jobs: []message.ClaimedJob{{Key: "h/p/5c0e7a21d94b36f8", Age: 1000, Remaining: 500}}},
+		message.TypeClaimAnswer: message.ClaimAnswer{Free: []string{"h/p/5c0e7a21d94b36f8"}, Kept: []string{"h/p/6"}},
+		message.TypeDrain:       message.Drain{NextOffset: 4, Drained: true, Current: true},
+		message.TypeRecords:     message.Records{Settings: []lavendercourse.KeyRecord{{Key: "config", Value: []byte("{}"), Offset: 3}}, End: 4},
+		message.TypeState:       message.State{Version: 1, Settings: []message.Setting{{Key: "domain.a", Value: "drained", Version: 1}}},
 	}
 }
 
--- a/message/queue.go
+++ b/message/queue.go
@@ -173,6 +173,33 @@
 	Remaining clock.Millis
 }
 
+// Claim tells another gateway of jobs that callers have submitted to the sender, and that the receiver may have as well.
+// Gateways of earlier versions ignore it.
+type Claim struct {
+	_    struct{} `cbor:",toarray"`
+	Jobs []ClaimedJob
+}
+
+// ClaimedJob is a job that a gateway has.
+type ClaimedJob struct {
+	_ struct{} `cbor:",toarray"`
+	// Key identifies the job, as in CancelledJob.
+	Key string
+	// Age is the time in ms for which the caller may have been waiting at the sender. Of two gateways, the one with the lower
+	// age keeps the job.
+	Age clock.Millis
+	// Remaining is the time in ms after which the sender gives up the job, if it has not ended before.
+	Remaining clock.Millis
+}
+
+// ClaimAnswer answers claims. A job that the receiver of a claim gives up is answered once its runs have ended.
+type ClaimAnswer struct {
+	_ struct{} `cbor:",toarray"`
+	// Free holds the keys of jobs of which nothing runs at the sender, Kept those of jobs that the sender keeps.
+	Free []string
+	Kept []string
+}
+
 // Digest tells a gateway how far another one has read the settings that operators published. A pull has the same body;
 // it is answered with records if the receiver has read further.
 type Digest struct {
--- a/proof/fleet/system_test.go
+++ b/proof/fleet/system_test.go
@@ -277,3 +277,26 @@
 	assert.NilError(t, s.gateways[0].Stop(t.Context()))
 	assert.Equal(t, (<-done).state, "completed")
 }
+
+// Guards against a job that runs at two gateways at once, because the first one has not noticed that its caller has left and
+// submitted the job again.
+func TestJobSubmittedElsewhereIsGivenUp(t *testing.T) {
+	s := newSystem(t, 2, 2)
+	s.awaitPeers()
+	s.awaitReady(0)
+	s.awaitReady(1)
+	const id = "00000000000000aa"
+	body := jobJSON(2, 3000, 2500, "")
+	first := make(chan response, 1)
+	go func() {
+		r, err := s.send(0, http.MethodPost, pathPrefix+id, body)
+		assert.Check(t, err)
+		first <- r
+	}()
+	// Callers submit a job again 1.3 s after they have lost their connection.
+	time.Sleep(1300 * time.Millisecond)
+	r := s.submit(1, id, body)
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, r.state, "completed")
+	assert.Equal(t, (<-first).status, http.StatusBadGateway)
+}
--- /dev/null
+++ b/queue/claim_test.go
@@ -0,0 +1,240 @@
+package queue_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/queue"
+)
+
+// entries are schedulers with a runner each, which exchange claims unless one of them is cut off.
+type entries struct {
+	all []*harness
+	cut map[string]bool
+	// claims counts the claims sent.
+	claims int
+}
+
+var entryNames = []string{"e1", "e2", "e3"}
+
+func newEntries() *entries {
+	e := &entries{cut: map[string]bool{}}
+	for i, name := range entryNames {
+		h := newHarness("d1")
+		h.name, h.share = name, e.deliver
+		e.all = append(e.all, h)
+		h.enroll("r"+name, "d1")
+		for _, other := range e.all[:i] {
+			e.link(h, other)
+		}
+	}
+	return e
+}
+
+func (e *entries) link(a, b *harness) {
+	a.perform(a.scheduler.PeerLinked(a.now, b.name))
+	b.perform(b.scheduler.PeerLinked(b.now, a.name))
+}
+
+// deliver passes a claim or an answer on, unless one of the two entries is cut off.
+func (e *entries) deliver(from *harness, action queue.Action) {
+	if a, ok := action.(queue.ShareClaims); ok {
+		e.claims += len(a.Jobs)
+	}
+	for _, to := range e.all {
+		switch a := action.(type) {
+		case queue.ShareClaims:
+			if to.name == a.Peer && !e.cut[from.name] && !e.cut[to.name] {
+				to.perform(to.scheduler.HandleClaims(to.now, from.name, a.Jobs))
+			}
+		case queue.AnswerClaims:
+			if to.name == a.Peer && !e.cut[from.name] && !e.cut[to.name] {
+				to.perform(to.scheduler.HandleClaimAnswer(to.now, from.name, a.Answer))
+			}
+		}
+	}
+}
+
+// advance lets time pass. Reports and frames between entries arrive every 20 ms, except at entries that are cut off.
+func (e *entries) advance(d clock.Millis) {
+	for range d / 20 {
+		for _, h := range e.all {
+			h.now += 20
+			if !e.cut[h.name] {
+				e.hear(h)
+			}
+			h.perform(h.scheduler.Tick(h.now))
+		}
+	}
+}
+
+// hear delivers a report of the runner of an entry and a frame from each other entry.
+func (e *entries) hear(h *harness) {
+	h.scheduler.RecordContact(h.now)
+	for _, other := range e.all {
+		if !e.cut[other.name] {
+			h.scheduler.PeerHeard(h.now, other.name)
+		}
+	}
+	h.report("r"+h.name, capacity)
+}
+
+// Guards against a job that runs at two entries, because the first one has not noticed that its caller has left.
+func TestJobSubmittedToTwoEntries(t *testing.T) {
+	e := newEntries()
+	first, second := e.all[0], e.all[1]
+	first.submit("a", 1, 900, 6*clock.Second)
+	run := first.takeOrders()[0]
+	e.advance(1300)
+	assert.Equal(t, e.claims, 2, "the job is claimed once at each other entry")
+	j, _ := second.submit("a", 1, 900, 6*clock.Second)
+	assert.Equal(t, first.answers["a"].Result, lavendercourse.JobInterrupted)
+	assert.DeepEqual(t, first.recalled, []lavendercourse.RunID{run.run})
+	assert.Equal(t, j.AwaitedPeer(), "e1")
+	e.advance(100)
+	assert.Equal(t, len(second.takeOrders()), 0, "the first run has not ended")
+	first.endRun(run, lavendercourse.EndStopped, capacity)
+	assert.Equal(t, len(second.takeOrders()), 1)
+	second.endRun(sentRun{runner: "re2", run: run.run}, lavendercourse.EndDone, capacity)
+	assert.Equal(t, second.answers["a"].Result, lavendercourse.JobCompleted)
+}
+
+// Guards against a job that starts at a second entry while the first one is cut off and its runs may go on.
+func TestJobOfEntryThatIsCutOff(t *testing.T) {
+	e := newEntries()
+	first, second := e.all[0], e.all[1]
+	first.submit("a", 1, 900, 6*clock.Second)
+	e.advance(1100)
+	e.cut["e1"] = true
+	e.advance(200)
+	second.submit("a", 1, 900, 6*clock.Second)
+	// Config.RunExpiry is 900 + 900 + 150 ms.
+	e.advance(1700)
+	assert.Equal(t, len(second.takeOrders()), 0)
+	e.advance(60)
+	assert.Equal(t, len(second.takeOrders()), 1)
+}
+
+// Guards against an entry that orders runs of an old job right after it was cut off, before it knows which jobs other entries
+// have got meanwhile, and against a job that both entries then give up.
+func TestEntryIsBackFromCut(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// relink is set if the links to the other entries have to be made again.
+		relink bool
+	}{{"links have survived", false}, {"links are made again", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEntries()
+			first, second := e.all[0], e.all[1]
+			first.submit("a", 1, 900, 6*clock.Second)
+			e.cut["e1"] = true
+			if c.relink {
+				for _, other := range e.all[1:] {
+					first.scheduler.PeerUnlinked(other.name)
+					other.scheduler.PeerUnlinked("e1")
+				}
+			}
+			e.advance(2500)
+			second.submit("a", 1, 900, 6*clock.Second)
+			assert.Equal(t, len(second.takeOrders()), 1, "the entry knows nothing of the first submission")
+			first.takeOrders()
+			// Frames of runners arrive before those of other entries.
+			first.scheduler.RecordContact(first.now)
+			first.enroll("re1", "d1")
+			assert.Equal(t, len(first.takeOrders()), 0)
+			e.cut["e1"] = false
+			first.perform(first.scheduler.Tick(first.now))
+			assert.Equal(t, len(first.takeOrders()), 0)
+			if c.relink {
+				e.link(first, second)
+				e.link(first, e.all[2])
+			}
+			e.advance(1200)
+			assert.Equal(t, len(first.takeOrders()), 0)
+			assert.Equal(t, first.answers["a"].Result, lavendercourse.JobInterrupted)
+			_, answered := second.answers["a"]
+			assert.Assert(t, !answered)
+		})
+	}
+}
+
+// Guards against a submission that a cut or a pause has held up and that runs beside a later one of the same job.
+func TestOldSubmissionAfterCut(t *testing.T) {
+	e := newEntries()
+	first, second := e.all[0], e.all[1]
+	e.advance(100)
+	e.cut["e1"] = true
+	e.advance(4000)
+	second.submit("a", 1, 900, 1500)
+	second.takeOrders()
+	first.submit("a", 1, 900, 1500)
+	e.cut["e1"] = false
+	e.hear(first)
+	e.advance(200)
+	assert.Equal(t, len(first.takeOrders()), 0)
+	assert.Equal(t, first.answers["a"].Result, lavendercourse.JobInterrupted)
+	first.submit("b", 1, 100, 1500)
+	e.advance(20)
+	assert.Equal(t, len(first.takeOrders()), 1, "a job that no other entry has is served within a tick")
+}
+
+// Guards against jobs that wait for entries that are away: all of them, one of several, or one that never answers.
+func TestClaimsWithoutAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		away func(e *entries)
+		want clock.Millis
+	}{
+		{"all answer", func(*entries) {}, 0},
+		{"one does not answer", func(e *entries) { e.cut["e2"] = true }, 300},
+		{"none answers", func(e *entries) { e.cut["e2"], e.cut["e3"] = true, true }, 1000},
+		{"none is linked", func(e *entries) {
+			e.all[0].scheduler.PeerUnlinked("e2")
+			e.all[0].scheduler.PeerUnlinked("e3")
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEntries()
+			first := e.all[0]
+			e.advance(1100)
+			first.submit("a", 1, 900, 6*clock.Second)
+			run := first.takeOrders()[0]
+			c.away(e)
+			e.advance(1000)
+			first.endRun(run, lavendercourse.EndLost, capacity)
+			began := first.now
+			for len(first.takeOrders()) == 0 {
+				assert.Assert(t, first.now-began <= c.want, "the task has waited for %d ms", first.now-began)
+				e.advance(20)
+			}
+		})
+	}
+}
+
+// Guards against jobs that are claimed although they end early, since claims are messages to all other entries.
+func TestShortJobsAreNotClaimed(t *testing.T) {
+	e := newEntries()
+	e.all[0].submit("a", 1, 900, 6*clock.Second)
+	run := e.all[0].takeOrders()[0]
+	e.advance(900)
+	e.all[0].endRun(run, lavendercourse.EndDone, capacity)
+	e.advance(500)
+	assert.Equal(t, e.claims, 0)
+}
+
+// Guards against claims of many jobs that are kept for ever.
+func TestClaimsExpire(t *testing.T) {
+	h := newHarness("d1")
+	h.enroll("r1", "d1")
+	h.perform(h.scheduler.PeerLinked(h.now, "e2"))
+	h.perform(h.scheduler.HandleClaims(h.now, "e2", []message.ClaimedJob{{Key: testQueue.PathPrefix + "a", Age: 1000, Remaining: 500}}))
+	h.now += 500 + 1950
+	h.report("r1", capacity)
+	h.perform(h.scheduler.Tick(h.now))
+	h.submit("a", 1, 100, 0)
+	assert.Equal(t, len(h.takeOrders()), 1)
+}
--- a/queue/job.go
+++ b/queue/job.go
@@ -70,6 +70,13 @@
 	// remaining counts, for each step, the tasks that have not completed.
 	remaining []int
 	arrived   clock.Millis
+	// submittedAt is the earliest time in ms at which the caller may have sent the submission.
+	submittedAt clock.Millis
+	// claimedAt is the time in ms at which the job was last claimed at other entries, answeredAt that of the last answer, both 0
+	// if there was none. unanswered holds the claims that are not answered, by entry.
+	claimedAt  clock.Millis
+	answeredAt clock.Millis
+	unanswered map[string]claimWait
 	// due is the time by which the job should end. callerDeadline is the time at which the last of its callers gives up; 0
 	// means not known.
 	due            clock.Millis
@@ -102,7 +109,7 @@
 func newJob(now clock.Millis, s lavendercourse.Submission, q route.Queue, id string, lastRunNumber int) (*Job, string) {
 	j := &Job{
 		key: q.Host + q.PathPrefix + id, id: id, queue: q, payload: s.Payload, digest: digestOf(s), steps: s.Steps, arrived: now, idleSince: now, callers: 1,
-		remaining: make([]int, len(s.Steps)),
+		remaining: make([]int, len(s.Steps)), submittedAt: now, unanswered: map[string]claimWait{},
 	}
 	if len(s.Steps) == 0 {
 		return nil, "job has no steps"
--- a/queue/place.go
+++ b/queue/place.go
@@ -22,7 +22,7 @@
 	kept := s.waiting[:0]
 	for _, j := range s.waiting {
 		// The next tick ends a job whose callers have given up. An entry that was suspended may get here before it.
-		if !j.callersGaveUp(now) && (j.minCPU <= largestFreeCPU || s.hasIsolatedTask(now, j)) {
+		if !j.callersGaveUp(now) && s.mayRun(now, j) && (j.minCPU <= largestFreeCPU || s.hasIsolatedTask(now, j)) {
 			before := j.waiting
 			actions = s.placeJob(actions, now, j, available)
 			if j.waiting != before {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -24,6 +24,7 @@
 	causeStopping   = "entry is stopping"
 	causeCancelled  = "job was cancelled"
 	causeCallerGone = "caller is gone"
+	causeElsewhere  = "the job was submitted to another entry later"
 	causeTimeLimit  = "the time limit of the caller has passed"
 )
 
@@ -65,6 +66,14 @@
 	partitions   map[string]quarantine.Partition
 	// endedJobs holds the jobs that ended recently, by key.
 	endedJobs map[string]*endedJob
+	contact   contact
+	// peers holds the other entries that were linked once, by name.
+	peers map[string]*peer
+	// claims holds the jobs that other entries have claimed, and waitingPeers the entries that wait until nothing of a job runs
+	// here, both by the key of the job.
+	claims       map[string]claim
+	claimsSwept  clock.Millis
+	waitingPeers map[string]map[string]bool
 	// meanWork is the mean work per job of each queue by queue name, in thousandths of a core times ms.
 	meanWork map[string]float64
 	// expiring lists what is or was in endedJobs, about the earliest to expire first: cancels that another entry has kept for
@@ -84,7 +93,8 @@
 	return &Scheduler{
 		cfg: cfg.withDefaults(), jobs: map[string]*Job{}, runners: map[string]*Runner{}, drained: map[string]bool{},
 		endedJobs: map[string]*endedJob{}, meanWork: map[string]float64{}, ledger: quarantine.NewLedger(),
-		containments: map[string]*quarantine.Containment{},
+		containments: map[string]*quarantine.Containment{}, peers: map[string]*peer{}, claims: map[string]claim{},
+		waitingPeers: map[string]map[string]bool{},
 	}
 }
 
@@ -191,7 +201,9 @@
 	}
 	s.jobs[j.key] = j
 	s.waiting = append(s.waiting, j)
-	return j, lavendercourse.JobAnswer{}, s.dispatchThrottled(now)
+	j.submittedAt = now - s.contact.maxRequestAge(now)
+	actions := s.claimElsewhere(now, j)
+	return j, lavendercourse.JobAnswer{}, append(actions, s.dispatchThrottled(now)...)
 }
 
 // unsupportedFeatures names the features that a job or its queue asks for and that are not supported.
@@ -333,6 +345,7 @@
 			actions = s.endRun(actions, now, r, task, end)
 		}
 	}
+	actions = s.answerWaitingPeers(actions)
 	return append(actions, s.dispatchThrottled(now)...)
 }
 
@@ -475,6 +488,9 @@
 		}
 	}
 	actions = s.endAbandonedJobs(actions, now)
+	actions = s.claimDue(actions, now)
+	actions = s.answerWaitingPeers(actions)
+	s.dropExpiredClaims(now)
 	for _, c := range s.containments {
 		c.Tick(now)
 	}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -42,6 +42,9 @@
 	crashed int64
 	// silent names the runners of LogSilentRunner actions.
 	silent []string
+	// name is the name of the entry at others, and share passes on claims and answers to them.
+	name  string
+	share func(from *harness, a queue.Action)
 }
 
 type sentRun struct {
@@ -88,6 +91,10 @@
 			h.cancels = append(h.cancels, a.Job)
 		case queue.ShareVerdict:
 			h.verdicts = append(h.verdicts, a.Verdict)
+		case queue.ShareClaims, queue.AnswerClaims:
+			if h.share != nil {
+				h.share(h, a)
+			}
 		case queue.AnswerCallers:
 			h.answers[a.Job.ID()] = a.Answer
 		}
