Let runs of an earlier submission end before a job starts again

A gateway that had been paused for more than 3 s took two submissions of one job within 2 ms. The caller of the first one had left, so its runs were recalled; the second one was taken as a new job and ordered from another runner while the first runs were still being stopped.

The cause: the state of a task is kept with its job, and a job that has ended takes the knowledge of its runs in flight with it. A job whose earlier submission has had runs now waits until the ends of these runs are known.

The new test failed on the logic before in all three cases: the job was ordered at once.

--- a/queue/claim.go
+++ b/queue/claim.go
@@ -116,7 +116,7 @@
 			actions = s.endJob(actions, now, j, lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeElsewhere})
 		}
 		s.rememberClaim(now, name, c)
-		if s.hasRunsInFlight(c.Key) {
+		if s.hasRunsInFlight(c.Key, nil) {
 			s.addWaitingPeer(c.Key, name)
 			continue
 		}
@@ -179,7 +179,7 @@
 func (s *Scheduler) answerWaitingPeers(actions []Action) []Action {
 	free := map[string][]string{}
 	for key, names := range s.waitingPeers {
-		if s.hasRunsInFlight(key) {
+		if s.hasRunsInFlight(key, nil) {
 			continue
 		}
 		for name := range names {
@@ -196,11 +196,12 @@
 	return actions
 }
 
-// hasRunsInFlight tells whether a run of a job, which may have ended, was ordered and its end is not known.
-func (s *Scheduler) hasRunsInFlight(key string) bool {
+// hasRunsInFlight tells whether a run of any submission of a job but the given one, which may be nil, was ordered and its end is
+// not known.
+func (s *Scheduler) hasRunsInFlight(key string, except *Job) bool {
 	for _, r := range s.sortedRunners {
 		for task := range r.inFlight {
-			if task.job.key == key {
+			if task.job != except && task.job.key == key {
 				return true
 			}
 		}
@@ -268,8 +269,13 @@
 	return j.claimedAt > 0 && j.claimedAt >= s.contact.since
 }
 
-// mayRun tells whether runs of a job may be ordered: no other entry may have the job, or all that may have it have answered.
+// mayRun tells whether runs of a job may be ordered: runs of an earlier submission have ended, and no other entry may have the
+// job, or all that may have it have answered.
 func (s *Scheduler) mayRun(now clock.Millis, j *Job) bool {
+	if j.resubmitted && s.hasRunsInFlight(j.key, j) {
+		return false
+	}
+	j.resubmitted = false
 	for name, w := range j.unanswered {
 		if !s.answerExpired(now, j, name, w) {
 			return false
--- a/queue/claim_test.go
+++ b/queue/claim_test.go
@@ -238,3 +238,39 @@
 	h.submit("a", 1, 100, 0)
 	assert.Equal(t, len(h.takeOrders()), 1)
 }
+
+// Guards against a job that is submitted again to the same entry and starts while a run of the earlier submission goes on.
+func TestRunsOfEarlierSubmissionEndFirst(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// end lets the run end, for the entry.
+		end func(h *harness, run sentRun)
+	}{
+		{"the runner reports the end", func(h *harness, run sentRun) { h.endRun(run, lavendercourse.EndStopped, capacity) }},
+		{"the runner is silent", func(h *harness, _ sentRun) {
+			h.scheduler.Unlinked("r1")
+			h.now += 1950
+			h.report("r2", capacity)
+			h.perform(h.scheduler.Tick(h.now))
+		}},
+		{"the runner makes a new link", func(h *harness, _ sentRun) { h.enroll("r1", "d1") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness("d1")
+			h.enroll("r1", "d1")
+			j, _ := h.submit("a", 1, 100, 0)
+			run := h.takeOrders()[0]
+			h.enroll("r2", "d1")
+			h.perform(h.scheduler.CallerLeft(h.now, j))
+			h.submit("a", 1, 100, 0)
+			h.submit("b", 1, 100, 0)
+			assert.Equal(t, h.takeOrders()[0].run.Job, "b", "other jobs do not wait")
+			h.perform(h.scheduler.Tick(h.now))
+			assert.Equal(t, len(h.takeOrders()), 0)
+			c.end(h, run)
+			orders := h.takeOrders()
+			assert.Equal(t, len(orders), 1)
+			assert.Equal(t, orders[0].run, lavendercourse.RunID{Job: "a", Run: 2})
+		})
+	}
+}
--- a/queue/job.go
+++ b/queue/job.go
@@ -77,6 +77,8 @@
 	claimedAt  clock.Millis
 	answeredAt clock.Millis
 	unanswered map[string]claimWait
+	// resubmitted is set while runs of an earlier submission of the job may not have ended.
+	resubmitted bool
 	// due is the time by which the job should end. callerDeadline is the time at which the last of its callers gives up; 0
 	// means not known.
 	due            clock.Millis
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -202,6 +202,7 @@
 	s.jobs[j.key] = j
 	s.waiting = append(s.waiting, j)
 	j.submittedAt = now - s.contact.maxRequestAge(now)
+	j.resubmitted = lastRunNumber > 0
 	actions := s.claimElsewhere(now, j)
 	return j, lavendercourse.JobAnswer{}, append(actions, s.dispatchThrottled(now)...)
 }
