Pause gateways for longer in soaks with cuts

A caller with a short time limit submits its job again 2.8 s after it has sent it, and the soak paused no process for longer than 3 s.

--- a/standin/soak/cut.go
+++ b/standin/soak/cut.go
@@ -1,12 +1,16 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
 )
 
 const (
+	// minLongPause and maxLongPause bound the pauses of gateways. A caller with a short time limit is back after 2.8 s.
+	minLongPause = 3 * time.Second
+	maxLongPause = 5 * time.Second
 	// maxCutDuration is the upper bound of the duration of one cut, and maxCutPause that of the pause before a second one.
 	maxCutDuration = 5 * time.Second
 	maxCutPause    = 1500 * time.Millisecond
@@ -46,6 +50,15 @@
 	}, true}
 }
 
+// pauseGateways pauses gateways until ctx ends, so that requests whose callers have left wait there.
+func (s *site) pauseGateways(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, 5))
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(1000+rng.IntN(3000)) * time.Millisecond)
+		s.pause(s.gateways[rng.IntN(len(s.gateways))], minLongPause+time.Duration(rng.Int64N(int64(maxLongPause-minLongPause))))
+	}
+}
+
 func setAll(proxies []*Proxy, f Fault) {
 	for _, p := range proxies {
 		p.Set(f)
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -42,7 +42,7 @@
 	// Crashes is the share of jobs with a task that crashes its workers. If it is not 0, capacities change, and there are more
 	// kinds of faults.
 	Crashes float64
-	// Cuts adds cuts that hold data: of single connections, of whole gateways, and of workers from their runners.
+	// Cuts adds cuts that hold data, of whole gateways and of workers from their runners, and long pauses of gateways.
 	Cuts bool
 	Out  io.Writer
 }
@@ -88,6 +88,9 @@
 	if cfg.Crashes > 0 {
 		wg.Go(func() { s.resizeWorkers(load) })
 	}
+	if cfg.Cuts {
+		wg.Go(func() { s.pauseGateways(load) })
+	}
 	wg.Go(func() { s.silenceStore(load) })
 	faults := s.injectFaults(ctx)
 	end()
