Take no job whose caller has already left

At the end of a cut or a pause a gateway receives submissions in one burst, each with the end of its caller's connection behind it. It took such a job and ordered runs, and noticed only then that the caller had left. A submission of that kind for a running job also kept its time limit, so that the job ran on after its other caller had given up.

The gateway now peeks at the connection before it gives a submission to the scheduler, with g.mu held, and does not take the job if the caller has closed or reset it. An unknown state of the connection counts as open. Such jobs are logged as event 523.

An end that arrives after the check is still noticed late, as before.

--- a/event/event.go
+++ b/event/event.go
@@ -118,6 +118,7 @@
 	ReadyChanged        = register(521, zerolog.InfoLevel, "readiness changed")
 	JobWaitsForPeer     = register(524, zerolog.InfoLevel, "job waits until its runs at another gateway have ended")
 	ContactRegained     = register(522, zerolog.WarnLevel, "gateway was out of contact with all runners and gateways")
+	CallerLeftBeforeJob = register(523, zerolog.InfoLevel, "caller had left before its job was taken; nothing of it ran")
 )
 
 // Events of a runner.
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/event"
@@ -42,3 +46,29 @@
 	}
 	return now - c.openedAt
 }
+
+// hasEnded reports whether the caller has closed or reset the connection. The server reads the end of a connection in the
+// background and may not have come to it. An unknown state counts as open.
+func (c *callerConn) hasEnded() bool {
+	if c == nil {
+		return false
+	}
+	conn, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 1
+	var b [1]byte
+	// Control does not wait for the read of the server in the background, as Read would.
+	if raw.Control(func(fd uintptr) { n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT) }) != nil {
+		return false
+	}
+	if err != nil {
+		return errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE) || errors.Is(err, unix.ETIMEDOUT)
+	}
+	return n == 0
+}
--- a/gateway/jobservice.go
+++ b/gateway/jobservice.go
@@ -10,6 +10,9 @@
 	"github.com/lavendercourse/lavendercourse/queue"
 )
 
+// causeCallerGone is the cause of an answer that no caller waits for.
+const causeCallerGone = "caller is gone"
+
 // jobService implements lavendercourse.JobService for the callers of a gateway.
 type jobService struct {
 	*Gateway
@@ -24,6 +27,17 @@
 		defer s.mu.Unlock()
 		return s.noQueueAnswer()
 	}
+	// What arrives at the end of a cut or a pause may have its caller's end of the connection behind it. The caller may have
+	// submitted the job to another gateway, so nothing of it may run here, nor may its time limit count for a running job.
+	// The check is made with g.mu held, since a submission of a burst may wait for it.
+	if conn := callerConnOf(ctx); ctx.Err() != nil || conn.hasEnded() {
+		contact := s.scheduler.ContactAge(now)
+		s.mu.Unlock()
+		s.log.On(event.CallerLeftBeforeJob).Str("job", id).Str("queue", q.Name).Int64("patience", int64(submission.CallerTimeout)).
+			Int64("open", int64(conn.age(now))).Int64("contact", int64(contact)).Send()
+		s.metrics.jobAnswered(lavendercourse.JobInterrupted, 0)
+		return lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeCallerGone}
+	}
 	j, a, actions := s.scheduler.Submit(now, submission, q, id)
 	if j == nil {
 		s.mu.Unlock()
@@ -53,7 +67,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.perform(s.scheduler.CallerLeft(s.cfg.Clock.Now(), j))
-	return lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: "caller is gone"}
+	return lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeCallerGone}
 }
 
 // noQueueAnswer returns the answer to a request that matches no queue. Before a configuration has been read, the
--- a/proof/fleet/harness_test.go
+++ b/proof/fleet/harness_test.go
@@ -151,14 +151,18 @@
 
 // startGateway starts a gateway with the given settings; the others are set here.
 func (s *system) startGateway(cfg gateway.Config) {
-	callerListener, linkListener, log := s.listen(), s.listen(), &logBuffer{}
-	cfg.Domain, cfg.Callers, cfg.Ready, cfg.Links, cfg.Advertise = "d0", callerListener, s.listen(), linkListener, linkListener.Addr().String()
+	linkListener, log := s.listen(), &logBuffer{}
+	if cfg.Callers == nil {
+		cfg.Callers = s.listen()
+	}
+	callerAddress := cfg.Callers.Addr().String()
+	cfg.Domain, cfg.Ready, cfg.Links, cfg.Advertise = "d0", s.listen(), linkListener, linkListener.Addr().String()
 	cfg.ConfigStream, cfg.Decode, cfg.Serve = platform.ConfigStream, platform.DecodeConfig, platform.NewJobHandler
 	cfg.Clock, cfg.Logger = clock.NewBoot(), zerolog.New(log)
 	g, err := gateway.New(cfg)
 	assert.NilError(s, err)
 	s.gateways = append(s.gateways, g)
-	s.callerAddresses = append(s.callerAddresses, callerListener.Addr().String())
+	s.callerAddresses = append(s.callerAddresses, callerAddress)
 	s.linkAddresses = append(s.linkAddresses, linkListener.Addr().String())
 	s.logs = append(s.logs, log)
 }
