Wait for the links to all known gateways after a gap

A gateway that had been cut off ordered runs of an old job once the first of the other gateways had answered its claim, while another one that had got the job meanwhile was not linked yet. Found by rereading; TestEntryIsBackFromCut failed with two of its three orders of links before. Links are made within a second after a gap, so old jobs wait for gateways that were linked in the last minute for that long at most.

--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -42,15 +42,17 @@
 func FuzzLinkFrame(f *testing.F) {
 	run := lavendercourse.RunID{Job: "j", Run: 1}
 	for t, body := range map[message.Type]any{
-		message.TypeHello:   message.Hello{Kind: message.KindAgent, Name: "r"},
-		message.TypeWelcome: message.Welcome{Name: "g2"},
-		message.TypeEnroll:  message.Enroll{Name: "r", Service: "s", Capacity: lavendercourse.Resources{CPU: -1}},
-		message.TypeReport:  message.Report{Stamp: 1, AcceptsRuns: true, Free: lavendercourse.Resources{CPU: 1 << 60}},
-		message.TypeEnded:   message.Ended{Ends: []message.RunEnd{{Run: run, Kind: 200}}},
-		message.TypeDigest:  message.Digest{NextOffset: 1 << 63},
-		message.TypePull:    message.Digest{},
-		message.TypeCancel:  message.Cancel{Jobs: []message.CancelledJob{{Key: "k", Remaining: -1}}},
-		message.TypeRecords: message.Records{Settings: []lavendercourse.KeyRecord{{Key: "config", Value: []byte("{")}}, End: 1 << 63},
+		message.TypeHello:       message.Hello{Kind: message.KindAgent, Name: "r"},
+		message.TypeWelcome:     message.Welcome{Name: "g2"},
+		message.TypeEnroll:      message.Enroll{Name: "r", Service: "s", Capacity: lavendercourse.Resources{CPU: -1}},
+		message.TypeReport:      message.Report{Stamp: 1, AcceptsRuns: true, Free: lavendercourse.Resources{CPU: 1 << 60}},
+		message.TypeEnded:       message.Ended{Ends: []message.RunEnd{{Run: run, Kind: 200}}},
+		message.TypeDigest:      message.Digest{NextOffset: 1 << 63},
+		message.TypePull:        message.Digest{},
+		message.TypeCancel:      message.Cancel{Jobs: []message.CancelledJob{{Key: "k", Remaining: -1}}},
+		message.TypeClaim:       message.Claim{Jobs: []message.ClaimedJob{{Key: "k", Age: -1, Remaining: -1}}},
+		message.TypeClaimAnswer: message.ClaimAnswer{Free: []string{"k"}, Kept: []string{"k"}},
+		message.TypeRecords:     message.Records{Settings: []lavendercourse.KeyRecord{{Key: "config", Value: []byte("{")}}, End: 1 << 63},
 	} {
 		b, err := message.Encode(t, 0, body)
 		if err != nil {
--- a/queue/claim.go
+++ b/queue/claim.go
@@ -16,6 +16,8 @@
 	// another one has answered. maxClaimWait is the longest time that it waits for a first answer.
 	claimTimeout = 250 * clock.Millis(1)
 	maxClaimWait = clock.Second
+	// peerMemory is the time in ms for which an entry without a link is expected to be linked again.
+	peerMemory = clock.Minute
 	// claimSweepPeriod is the time in ms between two searches for expired claims.
 	claimSweepPeriod = clock.Second
 	// maxClaims is the number of jobs of other entries that are remembered, at about 200 bytes each.
@@ -154,12 +156,17 @@
 	}
 }
 
-// dropExpiredClaims drops the claims of jobs that must have ended, once in claimSweepPeriod.
+// dropExpiredClaims drops the claims of jobs that must have ended and the entries that are gone, once in claimSweepPeriod.
 func (s *Scheduler) dropExpiredClaims(now clock.Millis) {
 	if now-s.claimsSwept < claimSweepPeriod {
 		return
 	}
 	s.claimsSwept = now
+	for name, p := range s.peers {
+		if !p.linked && now-p.lastHeard > peerMemory {
+			delete(s.peers, name)
+		}
+	}
 	for key, c := range s.claims {
 		if c.expires <= now {
 			delete(s.claims, key)
@@ -284,8 +291,8 @@
 	if len(s.peers) == 0 || !s.needsClaim(now, j) {
 		return true
 	}
-	// Links to other entries are made within maxClaimWait after a gap, unless there is no other entry.
-	return s.isClaimed(j) && (len(s.linkedPeers()) > 0 || s.ContactAge(now) >= maxClaimWait)
+	// After a gap, links to the entries that run are made within maxClaimWait.
+	return s.isClaimed(j) && (len(s.linkedPeers()) == len(s.peers) || s.ContactAge(now) >= maxClaimWait)
 }
 
 // answerExpired tells whether the answer of an entry to a claim is not needed any more.
--- a/queue/claim_test.go
+++ b/queue/claim_test.go
@@ -124,9 +124,11 @@
 func TestEntryIsBackFromCut(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// relink is set if the links to the other entries have to be made again.
+		// relink is set if the links to the other entries have to be made again, wait is the time after which the one to the entry
+		// that has the job is made.
 		relink bool
-	}{{"links have survived", false}, {"links are made again", true}} {
+		wait   clock.Millis
+	}{{"links have survived", false, 0}, {"links are made again", true, 0}, {"one link is made later", true, 400}} {
 		t.Run(c.name, func(t *testing.T) {
 			e := newEntries()
 			first, second := e.all[0], e.all[1]
@@ -150,8 +152,9 @@
 			first.perform(first.scheduler.Tick(first.now))
 			assert.Equal(t, len(first.takeOrders()), 0)
 			if c.relink {
-				e.link(first, second)
 				e.link(first, e.all[2])
+				e.advance(c.wait)
+				e.link(first, second)
 			}
 			e.advance(1200)
 			assert.Equal(t, len(first.takeOrders()), 0)
