End the worker's lease before callers of a silent entry return

A caller whose connection breaks submits its job again 1.3 s later, at any gateway. The runner stops the runs of a gateway 900 ms after its last stamp, but went on renewing the worker's lease for 900 ms at a time until then. If the worker fell silent before the stop reached it, the runs went on beside those of the next gateway.

The lease is now renewed no further than 1,250 ms after the last stamp of each entry whose runs have not ended, less 2 % for a slow clock. Nothing shorter keeps the bound: any longer grant may be the last one that the worker gets. For runs whose link has ended the last stamp on that link counts. Stamps are 300 ms apart; the lease shrinks from an age of 330 ms on, to some 300 ms when the runs are stopped, and is 900 ms again once they have ended.

The lease is one for all runs of the worker.

Orders are refused while the lease cannot be extended by 150 ms: stops must have had no effect for 170 ms by then.

Not bounded: a run whose order arrives with a stamp of 330 to 900 ms just after a renewal, if its entry and its worker then fall silent at once. Refusing such orders would cost runs whenever a runner or gateway is short of processor time.

--- a/room/config.go
+++ b/room/config.go
@@ -53,6 +53,20 @@
 	// maxFastStops is how often a stop that got no answer is sent again at once. Further ones follow at
 	// stopRetryInterval.
 	maxFastStops = 6
+	// resubmitDelay, in ms, is the time after which the users' callers submit a job again, at any entry, once their connection
+	// has broken.
+	resubmitDelay = 1300 * clock.Millis(1)
+	// stopDuration, in ms, is the longest time that a worker takes to stop a run.
+	stopDuration = 50 * clock.Millis(1)
+	// maxLeaseWithoutOwner, in ms, is the longest time after the last stamp of an entry for which the worker's lease may
+	// go on while the worker has a run of the entry. Its caller may have lost its connection when the entry fell silent.
+	maxLeaseWithoutOwner = resubmitDelay - stopDuration
+	// minStartLease, in ms, is the shortest lease that a start is sent with: time to repeat the start once and to extend the
+	// lease after that. Orders are refused for it only if stops of a silent entry's runs have had no effect for 170 ms.
+	minStartLease = 150 * clock.Millis(1)
+	// minLeaseForWait, in ms, is the lease below which the worker may delay the answer to a renewal for no longer than
+	// lossyRenewalWait. Three renewals with renewalWait fit into it. A healthy entry does not shorten the lease that far.
+	minLeaseForWait = 600 * clock.Millis(1)
 	// maxClockDriftPercent is how much slower than the runner's clock the clock of a worker may run.
 	maxClockDriftPercent = 2
 	// initialTokenStep, in ms, is added to a fencing token that the worker refused; each further step is larger by the
@@ -110,7 +124,8 @@
 type Config struct {
 	// WorkerLease is how long the worker keeps its runs without a renewal.
 	WorkerLease clock.Millis
-	// OwnerLease is how long runs continue without a message from their owner, the entry that ordered them.
+	// OwnerLease is how long runs continue without a message from their owner, the entry that ordered them. The worker's
+	// lease ends maxLeaseWithoutOwner after that message, which has to leave time to stop the runs.
 	OwnerLease clock.Millis
 	// OrderValidity is the age above which an order is refused, measured from its stamp: the entry copies the newest
 	// timestamp that it received from this runner, so the age needs no synchronized clocks.
--- a/room/model_test.go
+++ b/room/model_test.go
@@ -106,6 +106,11 @@
 	lastRun map[int]int
 	// linked is set while the link between the entry and the runner is up.
 	linked bool
+	// stamp is the newest stamp that the entry has sent back, stampAtEnd that of the runs whose link has ended.
+	stamp      clock.Millis
+	stampAtEnd map[lavendercourse.RunID]clock.Millis
+	// lateStarts holds the runs whose start carried the end of the lease by the clock of an earlier incarnation.
+	lateStarts map[lavendercourse.RunID]bool
 	// room is the number of tasks that the worker has capacity for, pastRooms the earlier numbers, and reportedRoom the
 	// number in the last heartbeat that was delivered.
 	room         int
@@ -119,6 +124,7 @@
 	m := &model{
 		t: t, table: room.New(room.Config{Epoch: epoch}), now: 10 * clock.Second, active: map[lavendercourse.RunID]bool{}, isolated: map[lavendercourse.RunID]bool{},
 		endedRuns: map[lavendercourse.RunID]int64{}, lastRun: map[int]int{}, linked: true, room: modelRoom,
+		stampAtEnd: map[lavendercourse.RunID]clock.Millis{}, lateStarts: map[lavendercourse.RunID]bool{},
 	}
 	m.restartWorker()
 	m.heartbeat()
@@ -295,7 +301,7 @@
 			m.t.Fatalf("%+v starts beside %+v, isolated %t and %t", id, other, m.isolated[id], m.isolated[other])
 		}
 	}
-	w.running[id] = true
+	w.running[id], m.lateStarts[id] = true, c.start.LeaseExpiry > w.clockAt(m.now)+room.DefaultWorkerLease
 	// A start that was in flight for longer than orders are valid reaches a later incarnation, which may have less room.
 	if len(w.running) > m.largestRoom(m.now-capacityGrace) && m.now-c.sent <= room.DefaultOrderValidity {
 		m.t.Fatalf("%d runs exceed the worker's capacity", len(w.running))
@@ -329,6 +335,22 @@
 	m.perform(m.table.Tick(m.now))
 }
 
+// checkLease checks that the worker, if it falls silent now, ends its runs by its lease before a caller of their entry can have
+// submitted the job elsewhere. Excluded are starts that were sent to an earlier incarnation, whose lease the worker shortens
+// to 1 s.
+func (m *model) checkLease() {
+	leaseEnd := m.worker.clockZero + m.worker.leaseUntil
+	for _, id := range m.worker.sortedRuns() {
+		stamp, linkEnded := m.stampAtEnd[id]
+		if !linkEnded {
+			stamp = m.stamp
+		}
+		if m.endedRuns[id] == 0 && !m.lateStarts[id] && leaseEnd > stamp+resubmitDelay-stopDuration {
+			m.t.Fatalf("%+v may run for %d ms after the last stamp of its entry", id, leaseEnd-stamp)
+		}
+	}
+}
+
 // orderRun orders a new run of a task, unless one is active. If isolated is set, the run has to be the only one.
 func (m *model) orderRun(task int, isolated bool) {
 	for id := range m.active {
@@ -338,7 +360,7 @@
 	}
 	m.lastRun[task]++
 	id := lavendercourse.RunID{Job: "j", Task: task, Run: m.lastRun[task]}
-	m.active[id], m.isolated[id] = true, isolated
+	m.active[id], m.isolated[id], m.stamp = true, isolated, m.now
 	order := message.Order{Stamp: m.now, Need: need, Estimate: 500, Runs: []lavendercourse.RunID{id}}
 	if isolated {
 		m.perform(m.table.HandleIsolatedOrder(m.now, entryName, order))
@@ -382,10 +404,11 @@
 	m.lists = append(m.lists, c)
 }
 
-// Guards against two simultaneous runs of a task, starts of runs that were reported as ended, and runs beyond the
-// capacity, in random sequences of orders, answers, losses, delays and restarts of the worker. Excluded is a start that
-// is still in flight after its run has ended, or for longer than orders are valid, and reaches the worker's next
-// incarnation before that has listed its runs: the worker has not seen a token yet, so it cannot refuse the start.
+// Guards against two simultaneous runs of a task, starts of runs that were reported as ended, runs beyond the capacity, and
+// leases that outlast the callers of a silent entry, in random sequences of orders, answers, losses, delays and restarts of
+// the worker. Excluded is a start that is still in flight after its run has ended, or for longer than orders are valid, and
+// reaches the worker's next incarnation before that has listed its runs: the worker has not seen a token yet, so it cannot
+// refuse the start.
 func TestRandomEventSequences(t *testing.T) {
 	// Longer sequences than the default of 30 steps: most faults need two incarnations of the worker.
 	assert.NilError(t, flag.Set("rapid.steps", "60"))
@@ -441,7 +464,13 @@
 				m.orderRun(rapid.IntRange(0, 3).Draw(t, "task"), rapid.IntRange(0, 5).Draw(t, "isolated") == 0)
 			}
 		},
-		"renew owner lease": func(*rapid.T) { m.table.RenewOwnerLease(entryName, m.now) },
+		"renew owner lease": func(*rapid.T) {
+			// Without a link, this is the entry's next link, on which nothing was ordered yet.
+			if m.linked {
+				m.stamp = m.now
+			}
+			m.table.RenewOwnerLease(entryName, m.now)
+		},
 		"carry out": func(t *rapid.T) {
 			if len(m.calls) == 0 {
 				return
@@ -497,6 +526,11 @@
 		"link": func(*rapid.T) {
 			if m.linked {
 				m.linked = false
+				for id := range m.active {
+					if _, ended := m.stampAtEnd[id]; !ended {
+						m.stampAtEnd[id] = m.stamp
+					}
+				}
 				m.perform(m.table.EntryDisconnected(m.now, entryName))
 				return
 			}
@@ -509,6 +543,7 @@
 		},
 		// Rapid runs the action without a name after every other action.
 		"": func(t *rapid.T) {
+			m.checkLease()
 			// Runs that started before the capacity shrank may exceed it.
 			shrunkBy := (m.largestRoom(0) - m.reportedRoom) * need.CPU
 			if free := m.table.Free(); m.table.AcceptsRuns(m.now) && free.CPU < -shrunkBy {
--- a/room/room.go
+++ b/room/room.go
@@ -30,6 +30,7 @@
 	causeSlow              = "run made too little progress"
 	causeForeign           = "run was not ordered by this runner"
 	causeIsolated          = "worker is reserved for one run"
+	causeLeaseTooShort     = "runs of a silent entry on the worker have not ended"
 	causeNotIsolated       = "other runs on the worker did not end in time"
 )
 
@@ -357,6 +358,8 @@
 		return lavendercourse.ReplyUnavailable, causeOtherKind
 	case !t.AcceptsRuns(now):
 		return lavendercourse.ReplyUnavailable, causeNotAccepting
+	case t.leaseLeft(now) < minStartLease:
+		return lavendercourse.ReplyUnavailable, causeLeaseTooShort
 	case t.runs[keyOf(id)] != nil:
 		return lavendercourse.ReplyOther, causeEarlierRun
 	case t.isolated != nil:
@@ -420,11 +423,40 @@
 // grantLease returns the time by the worker's clock, in ms, up to which the worker's lease is renewed now, and records
 // it.
 func (t *Table) grantLease(now clock.Millis) clock.Millis {
-	until := t.workerClock + (now - t.workerClockAt) + t.cfg.WorkerLease
+	until := t.workerClockNow(now) + t.leaseLeft(now)
 	t.grantedUntil = max(t.grantedUntil, until)
 	return until
 }
 
+// workerClockNow returns the reading of the worker's clock, in ms, that is expected now.
+func (t *Table) workerClockNow(now clock.Millis) clock.Millis {
+	return t.workerClock + now - t.workerClockAt
+}
+
+// leaseLeft returns the time in ms for which the worker's lease may be renewed now. It ends maxLeaseWithoutOwner after the
+// last stamp of each entry whose runs have not ended, even if the worker's clock is slow by maxClockDriftPercent: nothing
+// else ends these runs if the worker falls silent before it is told to stop them. The result is not positive if it may not
+// be renewed.
+func (t *Table) leaseLeft(now clock.Millis) clock.Millis {
+	left := t.cfg.WorkerLease
+	for _, run := range t.runs {
+		if run.state == stateWaiting {
+			continue
+		}
+		limit := t.ownerStamp(run) + maxLeaseWithoutOwner - t.workerClockAt
+		left = min(left, limit*(100-maxClockDriftPercent)/100-(now-t.workerClockAt))
+	}
+	return left
+}
+
+// ownerStamp returns the newest timestamp that the entry of a run has sent back on the link on which it ordered the run.
+func (t *Table) ownerStamp(run *trackedRun) clock.Millis {
+	if run.entryGone {
+		return run.entryStamp
+	}
+	return t.ownerRenewedAt[run.entry]
+}
+
 // recordAnswer records that the worker answered at the given time, with the incarnation and clock reading in the
 // answer. It returns false if the answer is from another incarnation.
 func (t *Table) recordAnswer(now clock.Millis, status lavendercourse.WorkerStatus) bool {
@@ -513,12 +545,13 @@
 	return t.endRun(nil, now, run, run.endKind, lavendercourse.ReplyAccepted, run.endCause)
 }
 
-// retryStart repeats an unanswered start, or stops the run once maxStartAttempts starts have been sent.
+// retryStart repeats an unanswered start, or stops the run once maxStartAttempts starts have been sent or the lease cannot be
+// extended by minStartLease.
 func (t *Table) retryStart(now clock.Millis, run *trackedRun) []Action {
 	switch {
 	case run.state != stateStarting:
 		return nil
-	case run.startsSent < maxStartAttempts:
+	case run.startsSent < maxStartAttempts && t.leaseLeft(now) >= minStartLease:
 		return []Action{t.sendStart(now, run)}
 	default:
 		return t.stopRun(nil, now, run, lavendercourse.EndStopped, causeStartUnanswered)
@@ -567,7 +600,9 @@
 	var actions []Action
 	for _, run := range t.sortedRuns() {
 		if run.entry == entry {
-			run.entryGone = true
+			if !run.entryGone {
+				run.entryGone, run.entryStamp = true, t.ownerRenewedAt[entry]
+			}
 			actions = t.stopRun(actions, now, run, lavendercourse.EndStopped, causeLinkEnded)
 		}
 	}
@@ -620,14 +655,21 @@
 
 // NextRenewal returns the ID of the worker, which is empty if not known yet, the next renewal of its lease, and the time
 // in ms to wait for the answer. The renewal does not extend the lease if the worker has not answered within
-// leaseExtensionCutoff. Renewals may overlap.
+// leaseExtensionCutoff, or if the runs of a silent entry should have ended. Renewals may overlap.
 func (t *Table) NextRenewal(now clock.Millis) (string, lavendercourse.Renewal, clock.Millis) {
 	if t.token == 0 {
 		t.raiseToken(now)
 	}
 	renewal := lavendercourse.Renewal{Token: t.token, AckedEnd: t.lastEnd}
 	if t.lastAnswer > 0 && now-t.lastAnswer < leaseExtensionCutoff {
-		renewal.LeaseExpiry, renewal.MaxWait = t.grantLease(now), t.waitTime(now)
+		left := t.leaseLeft(now)
+		if left > 0 {
+			renewal.LeaseExpiry = t.grantLease(now)
+		}
+		renewal.MaxWait = t.waitTime(now)
+		if left < minLeaseForWait {
+			renewal.MaxWait = lossyRenewalWait
+		}
 	}
 	worker := ""
 	if t.hasReport {
--- a/room/run.go
+++ b/room/run.go
@@ -80,8 +80,10 @@
 	stopAcceptedAt clock.Millis
 	// inDoubtSince is the time at which the incarnation ended that the run was sent to.
 	inDoubtSince clock.Millis
-	// entryGone is set once the link to the entry has ended. The end of the run is then not reported.
-	entryGone bool
+	// entryGone is set once the link to the entry has ended. The end of the run is then not reported. entryStamp is the
+	// newest stamp that the entry had sent back by then: those on a later link are no sign of the callers of this run.
+	entryGone  bool
+	entryStamp clock.Millis
 }
 
 // neverStarted reports whether the worker has refused all starts of the run, or none has reached it.
