Claim submissions at once that arrive after a gap of callers

Only the callers of a gateway were cut off, for longer than they take to come back elsewhere. The gateway took an old submission, and the end of its connection came 2 ms after the check for it. The gateway had been in contact with runners and other gateways all the time, so it did not doubt the submission.

A gap without any submission is treated like one without frames now: what arrives within a second after it is claimed before it runs. The claim is sent with the submission and not at the next tick, so a job that no other gateway has waits for one round trip. Claims made in the ms in which contact is regained are made again.

TestOldSubmissionAfterCutOfCallers failed before: the old job was ordered at once.

--- a/queue/claim.go
+++ b/queue/claim.go
@@ -230,16 +230,19 @@
 	return s.claimAt(actions, now, s.linkedPeers(), due)
 }
 
-// claimElsewhere claims a job that has just been submitted and that another entry has claimed. The job waits until the runs there
-// have ended.
-func (s *Scheduler) claimElsewhere(now clock.Millis, j *Job) []Action {
+// claimNew claims a job that has just been submitted: at all other entries if the submission may be old, or at the entry that has
+// claimed the job. The job waits until the runs there have ended.
+func (s *Scheduler) claimNew(now clock.Millis, j *Job) []Action {
 	c, claimed := s.claims[j.key]
-	if !claimed || c.expires <= now {
-		return nil
+	claimed = claimed && c.expires > now
+	if claimed {
+		delete(s.claims, j.key)
+		j.waitFor(now, c.peer)
+	}
+	if len(s.peers) > 0 && s.needsClaim(now, j) {
+		return s.claimAt(nil, now, s.linkedPeers(), []*Job{j})
 	}
-	delete(s.claims, j.key)
-	j.waitFor(now, c.peer)
-	if p := s.peers[c.peer]; p == nil || !p.linked {
+	if p := s.peers[c.peer]; !claimed || p == nil || !p.linked {
 		return nil
 	}
 	return []Action{ShareClaims{c.peer, []message.ClaimedJob{j.claimedJob(now)}}}
@@ -273,7 +276,7 @@
 // isClaimed tells whether the job has been claimed since the entry was last out of contact. Other entries may have got the job
 // meanwhile.
 func (s *Scheduler) isClaimed(j *Job) bool {
-	return j.claimedAt > 0 && j.claimedAt >= s.contact.since
+	return j.claimedAt > 0 && j.claimedAt > s.contact.since
 }
 
 // mayRun tells whether runs of a job may be ordered: runs of an earlier submission have ended, and no other entry may have the
--- a/queue/claim_test.go
+++ b/queue/claim_test.go
@@ -185,6 +185,25 @@
 	assert.Equal(t, len(first.takeOrders()), 1, "a job that no other entry has is served within a tick")
 }
 
+// Guards against a submission that a cut between callers and their entry has held up, which keeps in contact with runners and
+// other entries.
+func TestOldSubmissionAfterCutOfCallers(t *testing.T) {
+	e := newEntries()
+	first, second := e.all[0], e.all[1]
+	first.submit("a", 1, 100, 1500)
+	first.endRun(first.takeOrders()[0], lavendercourse.EndDone, capacity)
+	e.advance(2800)
+	second.submit("b", 1, 900, 1500)
+	second.takeOrders()
+	e.advance(200)
+	first.submit("b", 1, 900, 1500)
+	first.submit("c", 1, 100, 1500)
+	orders := first.takeOrders()
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].run.Job, "c", "a job that no other entry has is served at once")
+	assert.Equal(t, first.answers["b"].Result, lavendercourse.JobInterrupted)
+}
+
 // Guards against jobs that wait for entries that are away: all of them, one of several, or one that never answers.
 func TestClaimsWithoutAnswer(t *testing.T) {
 	for _, c := range []struct {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -66,7 +66,9 @@
 	partitions   map[string]quarantine.Partition
 	// endedJobs holds the jobs that ended recently, by key.
 	endedJobs map[string]*endedJob
-	contact   contact
+	// contact is that with runners and other entries, callerContact that with callers.
+	contact       contact
+	callerContact contact
 	// peers holds the other entries that were linked once, by name.
 	peers map[string]*peer
 	// claims holds the jobs that other entries have claimed, and waitingPeers the entries that wait until nothing of a job runs
@@ -159,6 +161,7 @@
 // job. If the job ended a short time ago, because the caller's answer was lost or a repeated request arrives late, the
 // caller gets the same answer again, unless the job ended without a result.
 func (s *Scheduler) Submit(now clock.Millis, submission lavendercourse.Submission, q route.Queue, id string) (*Job, lavendercourse.JobAnswer, []Action) {
+	submittedAt := s.recordSubmission(now)
 	if j := s.jobs[q.Host+q.PathPrefix+id]; j != nil {
 		j.addCaller(now, submission)
 		return j, lavendercourse.JobAnswer{}, nil
@@ -201,9 +204,8 @@
 	}
 	s.jobs[j.key] = j
 	s.waiting = append(s.waiting, j)
-	j.submittedAt = now - s.contact.maxRequestAge(now)
-	j.resubmitted = lastRunNumber > 0
-	actions := s.claimElsewhere(now, j)
+	j.submittedAt, j.resubmitted = submittedAt, lastRunNumber > 0
+	actions := s.claimNew(now, j)
 	return j, lavendercourse.JobAnswer{}, append(actions, s.dispatchThrottled(now)...)
 }
 
