Tie claims to contact outside the domain, to their answers, and to 16 gateways

- A gateway whose failure domain was cut off heard its own runners and counted as in contact (TestEntryInDomainThatIsCutOff).
- A held-up answer to an earlier claim counted for a later one, and frames of replaced links were handled (TestAnswersToEarlierClaims).
- Other gateways forgot claims before a long job ended, or when a caller had joined it (TestClaimsLastAsLongAsTheJob), and after the first submission (TestClaimCountsForLaterSubmissions).
- A gateway that had restarted answered for its predecessor (TestRestartedEntryDoesNotAnswerForItsPredecessor), and one that waited for a third gateway answered that nothing ran (TestJobSubmittedToThreeEntries).
- Each job that was older than a second was claimed at all gateways, dispatches sorted all gateways for each old job, and answers searched all runs in flight (TestClaimsAreBounded).

--- a/gateway/claim.go
+++ b/gateway/claim.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/message"
 	"github.com/lavendercourse/lavendercourse/queue"
 )
@@ -31,3 +32,21 @@
 	// The error is ignored: the other gateway claims its jobs again on the next link.
 	_ = p.link.Send(message.TypeClaimAnswer, 0, a.Answer)
 }
+
+// handleClaimFrame handles the claims of another gateway, or its answer to claims. g.mu must be held.
+func (g *Gateway) handleClaimFrame(now clock.Millis, name string, f message.Frame) error {
+	if f.Type == message.TypeClaim {
+		var c message.Claim
+		if err := f.DecodeBody(&c); err != nil {
+			return err
+		}
+		g.perform(g.scheduler.HandleClaims(now, name, c.Jobs))
+		return nil
+	}
+	var a message.ClaimAnswer
+	if err := f.DecodeBody(&a); err != nil {
+		return err
+	}
+	g.perform(g.scheduler.HandleClaimAnswer(now, name, a))
+	return nil
+}
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -12,9 +12,9 @@
 	"github.com/lavendercourse/lavendercourse/event"
 )
 
-// recordContact records that a frame has arrived on a link, and logs the end of a gap. g.mu must be held.
-func (g *Gateway) recordContact(now clock.Millis) {
-	if gap := g.scheduler.RecordContact(now); gap > 0 {
+// recordContact records that a frame has arrived on a link from the given failure domain, and logs the end of a gap. g.mu must be held.
+func (g *Gateway) recordContact(now clock.Millis, domain string) {
+	if gap := g.scheduler.RecordContact(now, domain); gap > 0 {
 		g.log.On(event.ContactRegained).Int64("silent", int64(gap)).Int("jobs", g.scheduler.Jobs()).Send()
 	}
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -139,18 +139,12 @@
 		for _, job := range c.Jobs {
 			g.perform(g.scheduler.HandleCancel(now, job))
 		}
-	case message.TypeClaim:
-		var c message.Claim
-		if err := f.DecodeBody(&c); err != nil {
-			return err
-		}
-		g.perform(g.scheduler.HandleClaims(now, name, c.Jobs))
-	case message.TypeClaimAnswer:
-		var a message.ClaimAnswer
-		if err := f.DecodeBody(&a); err != nil {
-			return err
+	case message.TypeClaim, message.TypeClaimAnswer:
+		// The end of a link that was replaced may still deliver old frames.
+		if p := g.peers[name]; p == nil || p.link != l {
+			return nil
 		}
-		g.perform(g.scheduler.HandleClaimAnswer(now, name, a))
+		return g.handleClaimFrame(now, name, f)
 	case message.TypePull:
 		var d message.Digest
 		if err := f.DecodeBody(&d); err != nil {
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -51,7 +51,7 @@
 		message.TypePull:        message.Digest{},
 		message.TypeCancel:      message.Cancel{Jobs: []message.CancelledJob{{Key: "k", Remaining: -1}}},
 		message.TypeClaim:       message.Claim{Jobs: []message.ClaimedJob{{Key: "k", Age: -1, Remaining: -1}}},
-		message.TypeClaimAnswer: message.ClaimAnswer{Free: []string{"k"}, Kept: []string{"k"}},
+		message.TypeClaimAnswer: message.ClaimAnswer{Free: []message.SettledJob{{Key: "k", Claimed: 5}}, Kept: []message.SettledJob{{Key: "k", Claimed: 5}}},
 		message.TypeRecords:     message.Records{Settings: []lavendercourse.KeyRecord{{Key: "config", Value: []byte("{")}}, End: 1 << 63},
 	} {
 		b, err := message.Encode(t, 0, body)
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -16,6 +16,8 @@
 	// kind is KindEntry for a gateway and KindAgent for a runner.
 	kind message.Kind
 	name string
+	// domain is its failure domain, or empty if that is not known.
+	domain string
 }
 
 // runnerLink is a link to a runner.
@@ -50,14 +52,14 @@
 func (g *Gateway) HandleFrame(l *link.Link, f message.Frame) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.recordContact(g.cfg.Clock.Now())
+	remote, ok := l.Tag().(remoteID)
+	g.recordContact(g.cfg.Clock.Now(), remote.domain)
 	switch f.Type {
 	case message.TypeHello:
 		return g.handleHello(l, f)
 	case message.TypeWelcome:
 		return g.handleWelcome(l, f)
 	}
-	remote, ok := l.Tag().(remoteID)
 	if !ok {
 		return message.ErrFrame
 	}
@@ -80,7 +82,7 @@
 	if h.Name == "" || (h.Kind != message.KindAgent && h.Kind != message.KindEntry) {
 		return message.ErrBody
 	}
-	l.SetTag(remoteID{kind: h.Kind, name: h.Name})
+	l.SetTag(remoteID{kind: h.Kind, name: h.Name, domain: h.Domain})
 	if h.Kind == message.KindEntry {
 		g.roster.Learn([]message.Peer{{Name: h.Name, Address: h.Address}})
 		if !g.addPeerLink(l, h.Name) {
@@ -95,7 +97,7 @@
 	if h.Kind == message.KindAgent {
 		g.runners[h.Name] = &runnerLink{link: l, rosterVersion: g.roster.Version(), domain: h.Domain}
 	}
-	if err := l.Send(message.TypeWelcome, 0, message.Welcome{Name: g.cfg.Name, Peers: g.roster.Peers()}); err != nil || h.Kind == message.KindAgent {
+	if err := l.Send(message.TypeWelcome, 0, message.Welcome{Name: g.cfg.Name, Peers: g.roster.Peers(), Domain: g.cfg.Domain}); err != nil || h.Kind == message.KindAgent {
 		return err
 	}
 	return g.sendShared(l, h.Name)
@@ -146,7 +148,7 @@
 		l.Close()
 		return nil
 	}
-	l.SetTag(remoteID{kind: message.KindEntry, name: w.Name})
+	l.SetTag(remoteID{kind: message.KindEntry, name: w.Name, domain: w.Domain})
 	if g.peers[w.Name] != nil && w.Name < g.cfg.Name {
 		l.Close()
 		return nil
--- a/message/body.go
+++ b/message/body.go
@@ -42,6 +42,8 @@
 	Name        string `cbor:"name"`
 	Incarnation string `cbor:"incarnation"`
 	Peers       []Peer `cbor:"peers"`
+	// Domain is the failure domain of a gateway.
+	Domain string `cbor:"domain,omitempty"`
 }
 
 // Load is the load of an agent. Every heartbeat, offer and done message carries it, so that entries need not probe
--- a/message/queue.go
+++ b/message/queue.go
@@ -185,6 +185,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Key identifies the job, as in CancelledJob.
 	Key string
+	// Claimed is the time of the claim in ms by the sender's clock.
+	Claimed clock.Millis
 	// Age is the time in ms for which the caller may have been waiting at the sender. Of two gateways, the one with the lower
 	// age keeps the job.
 	Age clock.Millis
@@ -195,9 +197,17 @@
 // ClaimAnswer answers claims. A job that the receiver of a claim gives up is answered once its runs have ended.
 type ClaimAnswer struct {
 	_ struct{} `cbor:",toarray"`
-	// Free holds the keys of jobs of which nothing runs at the sender, Kept those of jobs that the sender keeps.
-	Free []string
-	Kept []string
+	// Free holds the jobs of which nothing runs at the sender, Kept those that the sender keeps.
+	Free []SettledJob
+	Kept []SettledJob
+}
+
+// SettledJob is a job in a ClaimAnswer.
+type SettledJob struct {
+	_   struct{} `cbor:",toarray"`
+	Key string
+	// Claimed is that of the claim. It is 0 if the sender gives up a job that the receiver keeps.
+	Claimed clock.Millis
 }
 
 // Digest tells a gateway how far another one has read the settings that operators published. A pull has the same body;
--- a/queue/claim.go
+++ b/queue/claim.go
@@ -9,41 +9,50 @@
 )
 
 const (
-	// claimAfter is the age in ms from which on an entry claims a job at the other entries. The caller may have left unseen, and
+	// claimAfter is the age in ms from which on an entry claims a job at other entries. The caller may have left unseen, and
 	// submits the job to another entry 1.3 s later at the earliest, so that no other entry has it before.
 	claimAfter = clock.Second
+	// claimRefresh is the time in ms after which a job is claimed again. Other entries remember claims for endedJobRetention.
+	claimRefresh = 5 * clock.Second
 	// claimTimeout is the time in ms after which an entry does not wait for the answers of single entries any more, as long as
 	// another one has answered. maxClaimWait is the longest time that it waits for a first answer.
 	claimTimeout = 250 * clock.Millis(1)
 	maxClaimWait = clock.Second
-	// peerMemory is the time in ms for which an entry without a link is expected to be linked again.
-	peerMemory = clock.Minute
+	// maxClaimPeers is the number of entries at which a job is claimed of which nothing suggests that its caller has left. It is
+	// fixed so that the cost of a job does not grow with the fleet. Other jobs are claimed at all entries.
+	maxClaimPeers = 16
 	// claimSweepPeriod is the time in ms between two searches for expired claims.
 	claimSweepPeriod = clock.Second
 	// maxClaims is the number of jobs of other entries that are remembered, at about 200 bytes each.
 	maxClaims = 65536
 )
 
-// peer is another entry.
-type peer struct {
-	linked bool
-	// lastHeard is the time in ms of the last frame.
-	lastHeard clock.Millis
-}
-
 // claim is a job that another entry has claimed.
 type claim struct {
 	peer    string
 	expires clock.Millis
 }
 
-// claimWait is an unanswered claim at one other entry. holds is set if that entry is known to have, or to have had, the job: its
-// runs have to end first.
+// claimWait is an unanswered claim at one other entry.
 type claimWait struct {
+	// claimedAt is the time in ms of the claim, which its answer repeats, and age the age of the job that it states. Both are 0
+	// if the entry gives up the job without a claim.
+	claimedAt clock.Millis
+	age       clock.Millis
+	// since is the time in ms from which on the job waits. holds is set if the other entry is known to have, or to have had, the
+	// job: its runs have to end first.
 	since clock.Millis
 	holds bool
 }
 
+// claimAnswers are the answers that other entries wait for until nothing of a job runs.
+type claimAnswers struct {
+	// claimedAt holds the time of the claim, by the clock of the entry that waits, by its name.
+	claimedAt map[string]clock.Millis
+	// notBefore is the time in ms until which runs may go on that this entry does not know.
+	notBefore clock.Millis
+}
+
 // ShareClaims asks the entry to send claims to another one.
 type ShareClaims struct {
 	Peer string
@@ -59,70 +68,36 @@
 func (ShareClaims) action()  {}
 func (AnswerClaims) action() {}
 
-// PeerLinked handles a new link to another entry, at which the jobs have to be claimed again.
-func (s *Scheduler) PeerLinked(now clock.Millis, name string) []Action {
-	p := s.peers[name]
-	if p == nil {
-		p = &peer{}
-		s.peers[name] = p
-	}
-	p.linked, p.lastHeard = true, now
-	var due []*Job
-	for _, j := range s.jobs {
-		if _, waits := j.unanswered[name]; waits || s.isClaimed(j) {
-			due = append(due, j)
-		}
-	}
-	return s.claimAt(nil, now, []string{name}, due)
-}
-
-// PeerHeard records a frame of another entry.
-func (s *Scheduler) PeerHeard(now clock.Millis, name string) {
-	if p := s.peers[name]; p != nil {
-		p.lastHeard = now
-	}
-}
-
-// PeerUnlinked handles the end of a link to another entry.
-func (s *Scheduler) PeerUnlinked(name string) {
-	if p := s.peers[name]; p != nil {
-		p.linked = false
-	}
-}
-
-// linkedPeers returns the names of the linked entries in order.
-func (s *Scheduler) linkedPeers() []string {
-	var names []string
-	for name, p := range s.peers {
-		if p.linked {
-			names = append(names, name)
-		}
-	}
-	sort.Strings(names)
-	return names
-}
-
 // HandleClaims handles the claims of another entry. Of two entries that have a job, the one that got it last keeps it, since a
 // caller submits a job again only after it has left the first one. The other one ends it, and says so once nothing of it runs.
 func (s *Scheduler) HandleClaims(now clock.Millis, name string, jobs []message.ClaimedJob) []Action {
 	var actions []Action
 	answer := message.ClaimAnswer{}
 	for _, c := range jobs {
+		settled := message.SettledJob{Key: c.Key, Claimed: c.Claimed}
 		j := s.jobs[c.Key]
-		if j != nil && j.age(now) < c.Age {
-			answer.Kept = append(answer.Kept, c.Key)
-			j.waitFor(now, name)
+		if j != nil && j.statedAge(now, name) < c.Age {
+			answer.Kept = append(answer.Kept, settled)
+			j.unanswered[name] = claimWait{since: now, holds: true}
 			continue
 		}
+		// Runs of an earlier process with the name of this entry may go on for RunExpiry.
+		notBefore := s.startedAt + s.cfg.RunExpiry
+		if a := s.claimAnswers[c.Key]; a != nil {
+			notBefore = max(notBefore, a.notBefore)
+		}
 		if j != nil {
+			if j.awaitsOther(name) {
+				notBefore = now + s.cfg.RunExpiry
+			}
 			actions = s.endJob(actions, now, j, lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeElsewhere})
 		}
 		s.rememberClaim(now, name, c)
-		if s.hasRunsInFlight(c.Key, nil) {
-			s.addWaitingPeer(c.Key, name)
+		if s.runsInFlight[c.Key] > 0 || now < notBefore {
+			s.addClaimAnswer(name, settled, notBefore)
 			continue
 		}
-		answer.Free = append(answer.Free, c.Key)
+		answer.Free = append(answer.Free, settled)
 	}
 	if len(answer.Free)+len(answer.Kept) > 0 {
 		actions = append(actions, AnswerClaims{name, answer})
@@ -130,92 +105,84 @@
 	return actions
 }
 
-// HandleClaimAnswer handles the answer of another entry to claims.
+// HandleClaimAnswer handles the answer of another entry to claims. Answers to earlier claims of the same job, which may have been
+// held up, do not count.
 func (s *Scheduler) HandleClaimAnswer(now clock.Millis, name string, a message.ClaimAnswer) []Action {
 	var actions []Action
-	for _, key := range a.Free {
-		if j := s.jobs[key]; j != nil {
+	for _, settled := range a.Free {
+		if j := s.jobs[settled.Key]; j != nil && j.answers(name, settled) {
 			delete(j.unanswered, name)
 			j.answeredAt = now
 		}
 	}
-	for _, key := range a.Kept {
-		if j := s.jobs[key]; j != nil {
+	for _, settled := range a.Kept {
+		if j := s.jobs[settled.Key]; j != nil {
+			if !j.answers(name, settled) {
+				continue
+			}
 			actions = s.endJob(actions, now, j, lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeElsewhere})
 		}
-		s.addWaitingPeer(key, name)
+		s.addClaimAnswer(name, message.SettledJob{Key: settled.Key}, 0)
 	}
-	actions = s.answerWaitingPeers(actions)
+	actions = s.answerClaims(actions, now)
 	return append(actions, s.dispatchThrottled(now)...)
 }
 
 // rememberClaim remembers that another entry has a job, in case it is submitted here.
 func (s *Scheduler) rememberClaim(now clock.Millis, name string, c message.ClaimedJob) {
-	if len(s.claims) < maxClaims {
+	if _, known := s.claims[c.Key]; known || len(s.claims) < maxClaims {
 		s.claims[c.Key] = claim{peer: name, expires: now + min(c.Remaining, endedJobRetention) + s.cfg.RunExpiry}
 	}
 }
 
-// dropExpiredClaims drops the claims of jobs that must have ended and the entries that are gone, once in claimSweepPeriod.
-func (s *Scheduler) dropExpiredClaims(now clock.Millis) {
+// sweepClaims drops the claims of jobs that must have ended and the entries that are gone, once in claimSweepPeriod.
+func (s *Scheduler) sweepClaims(now clock.Millis) {
 	if now-s.claimsSwept < claimSweepPeriod {
 		return
 	}
 	s.claimsSwept = now
-	for name, p := range s.peers {
-		if !p.linked && now-p.lastHeard > peerMemory {
-			delete(s.peers, name)
-		}
-	}
 	for key, c := range s.claims {
 		if c.expires <= now {
 			delete(s.claims, key)
 		}
 	}
+	s.dropGonePeers(now)
 }
 
-// addWaitingPeer records that another entry has to be told once nothing of a job runs.
-func (s *Scheduler) addWaitingPeer(key, name string) {
-	if s.waitingPeers[key] == nil {
-		s.waitingPeers[key] = map[string]bool{}
-	}
-	s.waitingPeers[key][name] = true
+// addClaimAnswer records that another entry has to be told once nothing of a job runs, but not before the given time.
+func (s *Scheduler) addClaimAnswer(name string, settled message.SettledJob, notBefore clock.Millis) {
+	a := s.claimAnswers[settled.Key]
+	if a == nil {
+		a = &claimAnswers{claimedAt: map[string]clock.Millis{}}
+		s.claimAnswers[settled.Key] = a
+	}
+	a.claimedAt[name], a.notBefore = settled.Claimed, max(a.notBefore, notBefore)
 }
 
-// answerWaitingPeers tells other entries which of the jobs that they wait for have no runs any more.
-func (s *Scheduler) answerWaitingPeers(actions []Action) []Action {
-	free := map[string][]string{}
-	for key, names := range s.waitingPeers {
-		if s.hasRunsInFlight(key, nil) {
+// answerClaims tells other entries which of the jobs that they wait for have no runs any more.
+func (s *Scheduler) answerClaims(actions []Action, now clock.Millis) []Action {
+	if len(s.claimAnswers) == 0 {
+		return actions
+	}
+	free := map[string][]message.SettledJob{}
+	for key, a := range s.claimAnswers {
+		if s.runsInFlight[key] > 0 || now < a.notBefore {
 			continue
 		}
-		for name := range names {
-			free[name] = append(free[name], key)
+		for name, claimedAt := range a.claimedAt {
+			free[name] = append(free[name], message.SettledJob{Key: key, Claimed: claimedAt})
 		}
-		delete(s.waitingPeers, key)
+		delete(s.claimAnswers, key)
 	}
 	for _, name := range s.linkedPeers() {
-		if keys := free[name]; len(keys) > 0 {
-			sort.Strings(keys)
-			actions = append(actions, AnswerClaims{name, message.ClaimAnswer{Free: keys}})
+		if settled := free[name]; len(settled) > 0 {
+			sort.Slice(settled, func(a, b int) bool { return settled[a].Key < settled[b].Key })
+			actions = append(actions, AnswerClaims{name, message.ClaimAnswer{Free: settled}})
 		}
 	}
 	return actions
 }
 
-// hasRunsInFlight tells whether a run of any submission of a job but the given one, which may be nil, was ordered and its end is
-// not known.
-func (s *Scheduler) hasRunsInFlight(key string, except *Job) bool {
-	for _, r := range s.sortedRunners {
-		for task := range r.inFlight {
-			if task.job != except && task.job.key == key {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // claimDue claims the jobs that other entries may have by now.
 func (s *Scheduler) claimDue(actions []Action, now clock.Millis) []Action {
 	if len(s.peers) == 0 {
@@ -223,11 +190,11 @@
 	}
 	var due []*Job
 	for _, j := range s.jobs {
-		if s.needsClaim(now, j) && !s.isClaimed(j) {
+		if needsClaim(now, j) && !s.isClaimed(now, j) {
 			due = append(due, j)
 		}
 	}
-	return s.claimAt(actions, now, s.linkedPeers(), due)
+	return s.claimAt(actions, now, due, s.claimPeers)
 }
 
 // claimNew claims a job that has just been submitted: at all other entries if the submission may be old, or at the entry that has
@@ -236,53 +203,75 @@
 	c, claimed := s.claims[j.key]
 	claimed = claimed && c.expires > now
 	if claimed {
-		delete(s.claims, j.key)
-		j.waitFor(now, c.peer)
-	}
-	if len(s.peers) > 0 && s.needsClaim(now, j) {
-		return s.claimAt(nil, now, s.linkedPeers(), []*Job{j})
+		j.unanswered[c.peer] = claimWait{since: now, holds: true}
 	}
-	if p := s.peers[c.peer]; !claimed || p == nil || !p.linked {
+	peers := func(*Job) []string {
+		if p := s.peers[c.peer]; claimed && p != nil && p.linked {
+			return []string{c.peer}
+		}
 		return nil
 	}
-	return []Action{ShareClaims{c.peer, []message.ClaimedJob{j.claimedJob(now)}}}
+	// If there are many entries, the next tick claims all jobs of a burst in one frame to each of them.
+	if needsClaim(now, j) && s.linkedPeerCount <= maxClaimPeers {
+		peers = s.claimPeers
+	}
+	return s.claimAt(nil, now, []*Job{j}, peers)
 }
 
-// claimAt claims jobs at the given entries.
-func (s *Scheduler) claimAt(actions []Action, now clock.Millis, names []string, jobs []*Job) []Action {
-	if len(jobs) == 0 {
-		return actions
-	}
+// claimPeers returns the names of the entries at which a job is claimed.
+func (s *Scheduler) claimPeers(j *Job) []string {
+	names := s.linkedPeers()
+	gapEnd := max(s.contacts.since(), s.contacts.callers.since)
+	if j.mayBeOld || gapEnd > j.arrived || len(names) <= maxClaimPeers {
+		return names
+	}
+	sort.Slice(names, func(a, b int) bool { return peerRank(j.key, names[a]) < peerRank(j.key, names[b]) })
+	return names[:maxClaimPeers]
+}
+
+// claimAt claims each job at the entries that peers returns for it.
+func (s *Scheduler) claimAt(actions []Action, now clock.Millis, jobs []*Job, peers func(*Job) []string) []Action {
 	sort.Slice(jobs, func(a, b int) bool { return jobs[a].key < jobs[b].key })
-	claims := make([]message.ClaimedJob, 0, len(jobs))
+	claims := map[string][]message.ClaimedJob{}
 	for _, j := range jobs {
-		j.claimedAt = now
-		claims = append(claims, j.claimedJob(now))
+		names := peers(j)
+		if needsClaim(now, j) {
+			j.claimedAt = now
+		}
 		for _, name := range names {
-			if !j.unanswered[name].holds {
-				j.unanswered[name] = claimWait{since: now}
+			w := j.unanswered[name]
+			if !w.holds {
+				w.since = now
 			}
+			w.claimedAt, w.age = now, j.age(now)
+			j.unanswered[name] = w
+			claims[name] = append(claims[name], j.claimedJob(now))
 		}
 	}
-	for _, name := range names {
-		actions = append(actions, ShareClaims{name, claims})
+	if len(claims) == 0 {
+		return actions
+	}
+	for _, name := range s.linkedPeers() {
+		if len(claims[name]) > 0 {
+			actions = append(actions, ShareClaims{name, claims[name]})
+		}
 	}
 	return actions
 }
 
 // needsClaim tells whether another entry may have the job.
-func (s *Scheduler) needsClaim(now clock.Millis, j *Job) bool { return j.age(now) >= claimAfter }
+func needsClaim(now clock.Millis, j *Job) bool { return j.age(now) >= claimAfter }
 
-// isClaimed tells whether the job has been claimed since the entry was last out of contact. Other entries may have got the job
-// meanwhile.
-func (s *Scheduler) isClaimed(j *Job) bool {
-	return j.claimedAt > 0 && j.claimedAt > s.contact.since
+// isClaimed tells whether the job has been claimed lately, and since the entry was last out of contact. Other entries may have got
+// the job meanwhile.
+func (s *Scheduler) isClaimed(now clock.Millis, j *Job) bool {
+	return j.claimedAt > s.contacts.since() && now-j.claimedAt < claimRefresh
 }
 
 // mayRun tells whether runs of a job may be ordered: runs of an earlier submission have ended, and no other entry may have the
 // job, or all that may have it have answered.
 func (s *Scheduler) mayRun(now clock.Millis, j *Job) bool {
-	if j.resubmitted && s.hasRunsInFlight(j.key, j) {
+	if j.resubmitted && s.runsInFlight[j.key] > j.inFlight {
 		return false
 	}
 	j.resubmitted = false
@@ -290,12 +279,16 @@
 		if !s.answerExpired(now, j, name, w) {
 			return false
 		}
+		delete(j.unanswered, name)
 	}
-	if len(s.peers) == 0 || !s.needsClaim(now, j) {
+	if len(s.peers) == 0 || !needsClaim(now, j) {
 		return true
 	}
+	if !s.isClaimed(now, j) || s.contacts.inGap(now) {
+		return false
+	}
 	// After a gap, links to the entries that run are made within maxClaimWait.
-	return s.isClaimed(j) && (len(s.linkedPeers()) == len(s.peers) || s.ContactAge(now) >= maxClaimWait)
+	return s.linkedPeerCount == len(s.peers) || s.ContactAge(now) >= maxClaimWait
 }
 
 // answerExpired tells whether the answer of an entry to a claim is not needed any more.
@@ -321,12 +314,32 @@
 	return ""
 }
 
+// awaitsOther tells whether the runs of the job at an entry other than the given one have to end first.
+func (j *Job) awaitsOther(name string) bool {
+	for other, w := range j.unanswered {
+		if w.holds && other != name {
+			return true
+		}
+	}
+	return false
+}
+
+// answers tells whether an answer of another entry is that to the last claim of the job there.
+func (j *Job) answers(name string, settled message.SettledJob) bool {
+	w, waits := j.unanswered[name]
+	return waits && w.claimedAt == settled.Claimed
+}
+
 // age returns the time in ms for which the caller of the job may have been waiting.
 func (j *Job) age(now clock.Millis) clock.Millis { return now - j.submittedAt }
 
-// waitFor makes the job wait until its runs at another entry have ended.
-func (j *Job) waitFor(now clock.Millis, name string) {
-	j.unanswered[name] = claimWait{since: now, holds: true}
+// statedAge returns the age in ms that an unanswered claim at another entry states, so that two entries whose claims cross come to
+// the same result, or else the age of the job.
+func (j *Job) statedAge(now clock.Millis, name string) clock.Millis {
+	if w := j.unanswered[name]; w.claimedAt > 0 {
+		return w.age
+	}
+	return j.age(now)
 }
 
 // claimedJob returns the claim of the job.
@@ -335,5 +348,5 @@
 	if j.callerDeadline > 0 {
 		remaining = max(j.callerDeadline-now, 0)
 	}
-	return message.ClaimedJob{Key: j.key, Age: j.age(now), Remaining: remaining}
+	return message.ClaimedJob{Key: j.key, Claimed: now, Age: j.age(now), Remaining: remaining}
 }
--- a/queue/claim_test.go
+++ b/queue/claim_test.go
@@ -1,6 +1,7 @@
 package queue_test
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,6 +18,8 @@
 	cut map[string]bool
 	// claims counts the claims sent.
 	claims int
+	// outsideRunner is set if the entries hear a runner outside their failure domain.
+	outsideRunner bool
 }
 
 var entryNames = []string{"e1", "e2", "e3"}
@@ -32,6 +35,8 @@
 			e.link(h, other)
 		}
 	}
+	// An entry that has just started does not know the runs of its predecessor.
+	e.advance(2 * clock.Second)
 	return e
 }
 
@@ -74,12 +79,16 @@
 
 // hear delivers a report of the runner of an entry and a frame from each other entry.
 func (e *entries) hear(h *harness) {
-	h.scheduler.RecordContact(h.now)
+	h.scheduler.RecordContact(h.now, "d1")
 	for _, other := range e.all {
-		if !e.cut[other.name] {
+		if other != h && !e.cut[other.name] {
 			h.scheduler.PeerHeard(h.now, other.name)
+			h.scheduler.RecordContact(h.now, "d2")
 		}
 	}
+	if e.outsideRunner {
+		h.scheduler.RecordContact(h.now, "d2")
+	}
 	h.report("r"+h.name, capacity)
 }
 
@@ -145,7 +154,7 @@
 			assert.Equal(t, len(second.takeOrders()), 1, "the entry knows nothing of the first submission")
 			first.takeOrders()
 			// Frames of runners arrive before those of other entries.
-			first.scheduler.RecordContact(first.now)
+			first.scheduler.RecordContact(first.now, "d1")
 			first.enroll("re1", "d1")
 			assert.Equal(t, len(first.takeOrders()), 0)
 			e.cut["e1"] = false
@@ -213,7 +222,8 @@
 	}{
 		{"all answer", func(*entries) {}, 0},
 		{"one does not answer", func(e *entries) { e.cut["e2"] = true }, 300},
-		{"none answers", func(e *entries) { e.cut["e2"], e.cut["e3"] = true, true }, 1000},
+		{"nothing outside the domain is heard", func(e *entries) { e.cut["e2"], e.cut["e3"] = true, true }, 10000},
+		{"none answers", func(e *entries) { e.cut["e2"], e.cut["e3"], e.outsideRunner = true, true, true }, 1000},
 		{"none is linked", func(e *entries) {
 			e.all[0].scheduler.PeerUnlinked("e2")
 			e.all[0].scheduler.PeerUnlinked("e3")
@@ -223,7 +233,7 @@
 			e := newEntries()
 			first := e.all[0]
 			e.advance(1100)
-			first.submit("a", 1, 900, 6*clock.Second)
+			first.submit("a", 1, 900, clock.Minute)
 			run := first.takeOrders()[0]
 			c.away(e)
 			e.advance(1000)
@@ -261,6 +271,170 @@
 	assert.Equal(t, len(h.takeOrders()), 1)
 }
 
+// Guards against an entry that takes part in a cut of its failure domain, hears its own runner all the time, and orders an old
+// submission or a task of an old job when the cut ends or before.
+func TestEntryInDomainThatIsCutOff(t *testing.T) {
+	e := newEntries()
+	first, second := e.all[0], e.all[1]
+	first.submit("z", 1, 900, 6*clock.Second)
+	first.endRun(first.takeOrders()[0], lavendercourse.EndDone, capacity)
+	first.submit("a", 1, 900, 6*clock.Second)
+	run := first.takeOrders()[0]
+	e.cut["e1"] = true
+	for range 4000 / 20 {
+		e.advance(20)
+		first.scheduler.RecordContact(first.now, "d1")
+		first.report("re1", capacity)
+	}
+	second.submit("a", 1, 900, 6*clock.Second)
+	second.submit("b", 1, 900, 1500)
+	assert.Equal(t, len(second.takeOrders()), 2)
+	first.endRun(run, lavendercourse.EndLost, capacity)
+	assert.Equal(t, len(first.takeOrders()), 0, "other entries may have the job")
+	first.submit("b", 1, 900, 1500)
+	assert.Equal(t, len(first.takeOrders()), 0, "the submission may be old")
+	e.cut["e1"] = false
+	e.hear(first)
+	e.advance(200)
+	assert.Equal(t, len(first.takeOrders()), 0)
+	assert.Equal(t, first.answers["a"].Result, lavendercourse.JobInterrupted)
+	assert.Equal(t, first.answers["b"].Result, lavendercourse.JobInterrupted)
+}
+
+// Guards against an entry that answers for the process before it, whose runs may go on.
+func TestRestartedEntryDoesNotAnswerForItsPredecessor(t *testing.T) {
+	e := newEntries()
+	first, second := e.all[0], e.all[1]
+	first.submit("a", 1, 900, 6*clock.Second)
+	e.advance(1300)
+	second.submit("a", 1, 900, 6*clock.Second)
+	second.scheduler.PeerUnlinked("e1")
+	e.advance(200)
+	h := newHarness("d1")
+	h.name, h.share, h.now = "e1", e.deliver, second.now
+	e.all[0] = h
+	e.link(h, second)
+	e.advance(1900)
+	assert.Equal(t, len(second.takeOrders()), 0)
+	e.advance(60)
+	assert.Equal(t, len(second.takeOrders()), 1)
+	assert.Assert(t, first != h)
+}
+
+// Guards against an entry that answers that nothing of a job runs while it waits for the runs at a third one.
+func TestJobSubmittedToThreeEntries(t *testing.T) {
+	e := newEntries()
+	first, second, third := e.all[0], e.all[1], e.all[2]
+	first.submit("a", 1, 900, 6*clock.Second)
+	run := first.takeOrders()[0]
+	e.advance(1300)
+	second.submit("a", 1, 900, 6*clock.Second)
+	e.advance(1300)
+	third.submit("a", 1, 900, 6*clock.Second)
+	e.advance(1800)
+	assert.Equal(t, len(second.takeOrders())+len(third.takeOrders()), 0, "the run at the first entry has not ended")
+	first.endRun(run, lavendercourse.EndStopped, capacity)
+	e.advance(200)
+	assert.Equal(t, len(second.takeOrders()), 0)
+	assert.Equal(t, len(third.takeOrders()), 1)
+}
+
+// Guards against answers to an earlier claim, which a pause has held up, that are taken for those to a later one.
+func TestAnswersToEarlierClaims(t *testing.T) {
+	e := newEntries()
+	first, second := e.all[0], e.all[1]
+	var held []queue.AnswerClaims
+	for _, h := range e.all[1:] {
+		h.share = func(_ *harness, a queue.Action) {
+			if a, ok := a.(queue.AnswerClaims); ok {
+				held = append(held, a)
+			}
+		}
+	}
+	first.submit("a", 1, 900, 8*clock.Second)
+	first.takeOrders()
+	e.advance(1040)
+	assert.Equal(t, len(held), 2)
+	e.cut["e1"] = true
+	e.advance(3000)
+	second.submit("a", 1, 900, 8*clock.Second)
+	assert.Equal(t, len(second.takeOrders()), 1, "the runs of the first entry have expired")
+	e.cut["e1"] = false
+	e.hear(first)
+	first.enroll("re1", "d1")
+	first.perform(first.scheduler.Tick(first.now))
+	for _, a := range held {
+		first.perform(first.scheduler.HandleClaimAnswer(first.now, "e2", a.Answer))
+		first.perform(first.scheduler.HandleClaimAnswer(first.now, "e3", a.Answer))
+	}
+	assert.Equal(t, len(first.takeOrders()), 0)
+}
+
+// Guards against claims that other entries forget before the job ends, because its time limit is long, or because a caller that
+// joined it has extended the limit.
+func TestClaimsLastAsLongAsTheJob(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		limit clock.Millis
+		joins bool
+		wait  clock.Millis
+	}{
+		{"long limit", 60 * clock.Second, false, 40 * clock.Second},
+		{"no limit", 0, false, 40 * clock.Second},
+		{"a caller joins", 2 * clock.Second, true, 20 * clock.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEntries()
+			first, second := e.all[0], e.all[1]
+			first.submit("a", 1, 900, c.limit)
+			e.advance(1500)
+			if c.joins {
+				first.submit("a", 1, 900, 60*clock.Second)
+			}
+			e.advance(c.wait)
+			second.submit("a", 1, 900, 6*clock.Second)
+			assert.Equal(t, len(second.takeOrders()), 0)
+			assert.Equal(t, first.answers["a"].Result, lavendercourse.JobInterrupted)
+		})
+	}
+}
+
+// Guards against a claim that counts for the first submission of the job only.
+func TestClaimCountsForLaterSubmissions(t *testing.T) {
+	e := newEntries()
+	first, second := e.all[0], e.all[1]
+	first.submit("a", 1, 900, 6*clock.Second)
+	first.takeOrders()
+	e.advance(1300)
+	j, _ := second.submit("a", 1, 900, 6*clock.Second)
+	second.perform(second.scheduler.CallerLeft(second.now, j))
+	e.advance(100)
+	second.submit("a", 1, 900, 6*clock.Second)
+	assert.Equal(t, len(second.takeOrders()), 0, "the run at the first entry has not ended")
+}
+
+// Guards against claims at all entries of a large fleet of jobs whose callers wait as far as is known.
+func TestClaimsAreBounded(t *testing.T) {
+	h := newHarness("d1")
+	h.enroll("r1", "d1")
+	claims := 0
+	h.share = func(_ *harness, a queue.Action) {
+		if c, ok := a.(queue.ShareClaims); ok {
+			claims += len(c.Jobs)
+		}
+	}
+	for i := range 100 {
+		h.perform(h.scheduler.PeerLinked(h.now, fmt.Sprintf("e%d", i)))
+	}
+	h.submit("a", 1, 900, 6*clock.Second)
+	for range 60 {
+		h.now += 20
+		h.scheduler.RecordContact(h.now, "d1")
+		h.perform(h.scheduler.Tick(h.now))
+	}
+	assert.Equal(t, claims, 16)
+}
+
 // Guards against a job that is submitted again to the same entry and starts while a run of the earlier submission goes on.
 func TestRunsOfEarlierSubmissionEndFirst(t *testing.T) {
 	for _, c := range []struct {
--- a/queue/job.go
+++ b/queue/job.go
@@ -72,6 +72,8 @@
 	arrived   clock.Millis
 	// submittedAt is the earliest time in ms at which the caller may have sent the submission.
 	submittedAt clock.Millis
+	// mayBeOld is set if the submission was held up for as long as a caller takes to come back, as far as the entry knows.
+	mayBeOld bool
 	// claimedAt is the time in ms at which the job was last claimed at other entries, answeredAt that of the last answer, both 0
 	// if there was none. unanswered holds the claims that are not answered, by entry.
 	claimedAt  clock.Millis
@@ -185,9 +187,11 @@
 // Due returns the time in ms by which the job should end.
 func (j *Job) Due() clock.Millis { return j.due }
 
-// addCaller adds a caller that has submitted the job again.
-func (j *Job) addCaller(now clock.Millis, s lavendercourse.Submission) {
+// addCaller adds a caller that has submitted the job again. maxAge is how old the submission may be, in ms. The job is claimed anew,
+// since its age and the time limit of its callers have changed.
+func (j *Job) addCaller(now clock.Millis, s lavendercourse.Submission, maxAge clock.Millis) {
 	j.callers++
+	j.submittedAt, j.claimedAt = max(j.submittedAt, now-maxAge), 0
 	deadline := deadlineOf(now, s)
 	if j.callerDeadline == 0 || deadline == 0 {
 		j.callerDeadline = 0
--- a/queue/place.go
+++ b/queue/place.go
@@ -108,6 +108,7 @@
 		j.waitingWork -= task.work()
 		j.inFlight++
 		r.inFlight[task] = true
+		s.runsInFlight[j.key]++
 		r.reserve(st.Need)
 		a.Order.Runs = append(a.Order.Runs, task.id())
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -66,16 +66,20 @@
 	partitions   map[string]quarantine.Partition
 	// endedJobs holds the jobs that ended recently, by key.
 	endedJobs map[string]*endedJob
-	// contact is that with runners and other entries, callerContact that with callers.
-	contact       contact
-	callerContact contact
-	// peers holds the other entries that were linked once, by name.
-	peers map[string]*peer
-	// claims holds the jobs that other entries have claimed, and waitingPeers the entries that wait until nothing of a job runs
-	// here, both by the key of the job.
+	contacts  contacts
+	// startedAt is the time in ms of the first frame or link.
+	startedAt clock.Millis
+	// peers holds the other entries that are or were linked, by name.
+	peers           map[string]*peer
+	linkedPeerCount int
+	// claims holds the jobs that other entries have claimed, claimAnswers the answers that they wait for, both by the key of the
+	// job.
 	claims       map[string]claim
+	claimAnswers map[string]*claimAnswers
 	claimsSwept  clock.Millis
-	waitingPeers map[string]map[string]bool
+	// runsInFlight counts, by the key of their job, the runs that were ordered and whose end is not known, also those of jobs
+	// that have ended.
+	runsInFlight map[string]int
 	// meanWork is the mean work per job of each queue by queue name, in thousandths of a core times ms.
 	meanWork map[string]float64
 	// expiring lists what is or was in endedJobs, about the earliest to expire first: cancels that another entry has kept for
@@ -96,7 +100,7 @@
 		cfg: cfg.withDefaults(), jobs: map[string]*Job{}, runners: map[string]*Runner{}, drained: map[string]bool{},
 		endedJobs: map[string]*endedJob{}, meanWork: map[string]float64{}, ledger: quarantine.NewLedger(),
 		containments: map[string]*quarantine.Containment{}, peers: map[string]*peer{}, claims: map[string]claim{},
-		waitingPeers: map[string]map[string]bool{},
+		claimAnswers: map[string]*claimAnswers{}, runsInFlight: map[string]int{},
 	}
 }
 
@@ -161,9 +165,9 @@
 // job. If the job ended a short time ago, because the caller's answer was lost or a repeated request arrives late, the
 // caller gets the same answer again, unless the job ended without a result.
 func (s *Scheduler) Submit(now clock.Millis, submission lavendercourse.Submission, q route.Queue, id string) (*Job, lavendercourse.JobAnswer, []Action) {
-	submittedAt := s.recordSubmission(now)
+	maxAge := s.contacts.recordSubmission(now)
 	if j := s.jobs[q.Host+q.PathPrefix+id]; j != nil {
-		j.addCaller(now, submission)
+		j.addCaller(now, submission, maxAge)
 		return j, lavendercourse.JobAnswer{}, nil
 	}
 	if unsupported := unsupportedFeatures(submission, q); len(unsupported) > 0 {
@@ -204,7 +208,7 @@
 	}
 	s.jobs[j.key] = j
 	s.waiting = append(s.waiting, j)
-	j.submittedAt, j.resubmitted = submittedAt, lastRunNumber > 0
+	j.submittedAt, j.mayBeOld, j.resubmitted = now-maxAge, maxAge > 0, lastRunNumber > 0
 	actions := s.claimNew(now, j)
 	return j, lavendercourse.JobAnswer{}, append(actions, s.dispatchThrottled(now)...)
 }
@@ -302,12 +306,25 @@
 	return actions
 }
 
+// removeRun records that the end of the run of a task on a runner is known.
+func (s *Scheduler) removeRun(r *Runner, t *task) {
+	if !r.inFlight[t] {
+		return
+	}
+	r.remove(t)
+	key := t.job.key
+	s.runsInFlight[key]--
+	if s.runsInFlight[key] == 0 {
+		delete(s.runsInFlight, key)
+	}
+}
+
 // requeue makes a task wait again after a run that failed, ended without a result or never started. If avoidLast is
 // set, other runners than that of this run are preferred for the next one.
 func (s *Scheduler) requeue(task *task, avoidLast bool) {
 	j := task.job
 	if task.runner != nil {
-		task.runner.remove(task)
+		s.removeRun(task.runner, task)
 		if avoidLast {
 			task.avoidRunner = task.runner.Name()
 		}
@@ -348,7 +365,7 @@
 			actions = s.endRun(actions, now, r, task, end)
 		}
 	}
-	actions = s.answerWaitingPeers(actions)
+	actions = s.answerClaims(actions, now)
 	return append(actions, s.dispatchThrottled(now)...)
 }
 
@@ -370,7 +387,7 @@
 	}
 	switch end.Kind {
 	case lavendercourse.EndDone:
-		r.remove(task)
+		s.removeRun(r, task)
 		if j.ended {
 			return actions
 		}
@@ -492,8 +509,8 @@
 	}
 	actions = s.endAbandonedJobs(actions, now)
 	actions = s.claimDue(actions, now)
-	actions = s.answerWaitingPeers(actions)
-	s.dropExpiredClaims(now)
+	actions = s.answerClaims(actions, now)
+	s.sweepClaims(now)
 	for _, c := range s.containments {
 		c.Tick(now)
 	}
