--- a/proof/cut/world_test.go
+++ b/proof/cut/world_test.go
@@ -21,8 +21,10 @@
 	// recoveryTime is the time in ms after the last fault from which on all jobs have to be served: links are made again, the
 	// links and runs of before expire, and callers come back.
 	recoveryTime = 6 * clock.Second
-	// quietTime is the time in ms for which jobs are submitted after that, and drainTime what passes after the last submission.
+	// quietTime is the time in ms for which jobs are submitted after that, quietJobs of them to each gateway, and drainTime what
+	// passes after the last submission.
 	quietTime = 2 * clock.Second
+	quietJobs = 4
 	drainTime = 9 * clock.Second
 )
 
