--- a/proof/cut/gateway_test.go
+++ b/proof/cut/gateway_test.go
@@ -111,7 +111,7 @@
 
 // handleHello registers a link that another gateway has dialed, as gateway.handleHello does.
 func (g *gateway) handleHello(l *peerLink) {
-	g.scheduler.RecordContact(g.w.now)
+	g.scheduler.RecordContact(g.w.now, l.remote.name)
 	dialer := l.remote
 	if old := g.peers[dialer.name]; old != nil {
 		if dialer.name > g.name {
@@ -128,7 +128,7 @@
 
 // handleWelcome registers a link that this gateway has dialed, as gateway.handleWelcome does.
 func (g *gateway) handleWelcome(l *peerLink) {
-	g.scheduler.RecordContact(g.w.now)
+	g.scheduler.RecordContact(g.w.now, l.remote.name)
 	g.dialing[l.remote.site.index] = false
 	if old := g.peers[l.remote.name]; old != nil {
 		if l.remote.name < g.name {
@@ -155,7 +155,7 @@
 func (l *peerLink) sendFrame(handle func(l *peerLink)) {
 	remote := l.remote
 	l.send(func() {
-		remote.scheduler.RecordContact(remote.w.now)
+		remote.scheduler.RecordContact(remote.w.now, l.other.remote.name)
 		remote.scheduler.PeerHeard(remote.w.now, l.other.remote.name)
 		handle(l.other)
 	})
@@ -163,7 +163,7 @@
 
 // handleRunnerHello registers a runner that has dialed this gateway, as gateway.handleHello does.
 func (g *gateway) handleRunnerHello(l *runnerLink) {
-	g.scheduler.RecordContact(g.w.now)
+	g.scheduler.RecordContact(g.w.now, l.r.name)
 	if old := g.runners[l.r.name]; old != nil {
 		old.atGateway.close()
 		g.scheduler.Unlinked(l.r.name)
@@ -300,16 +300,16 @@
 	if p == nil {
 		return
 	}
-	for _, key := range a.Answer.Free {
-		w.note(jobOf(key), "%s tells %s that nothing of the job runs", g.name, a.Peer)
+	for _, settled := range a.Answer.Free {
+		w.note(jobOf(settled.Key), "%s tells %s that nothing of the job runs", g.name, a.Peer)
 	}
-	for _, key := range a.Answer.Kept {
-		w.note(jobOf(key), "%s tells %s that it keeps the job", g.name, a.Peer)
+	for _, settled := range a.Answer.Kept {
+		w.note(jobOf(settled.Key), "%s tells %s that it keeps the job", g.name, a.Peer)
 	}
 	p.sendFrame(func(at *peerLink) {
 		remote := p.remote
-		for _, key := range append(slices.Clone(a.Answer.Free), a.Answer.Kept...) {
-			w.note(jobOf(key), "%s gets the answer of %s", remote.name, g.name)
+		for _, settled := range append(slices.Clone(a.Answer.Free), a.Answer.Kept...) {
+			w.note(jobOf(settled.Key), "%s gets the answer of %s", remote.name, g.name)
 		}
 		remote.perform(remote.scheduler.HandleClaimAnswer(w.now, at.remote.name, a.Answer))
 	})
--- a/proof/cut/runner_test.go
+++ b/proof/cut/runner_test.go
@@ -138,7 +138,7 @@
 // toGateway sends a frame to the gateway. handle is called if the link is the current one there.
 func (l *runnerLink) toGateway(handle func()) {
 	l.atRunner.send(func() {
-		l.g.scheduler.RecordContact(l.g.w.now)
+		l.g.scheduler.RecordContact(l.g.w.now, l.r.name)
 		if l.g.runners[l.r.name] == l {
 			handle()
 		}
