Doubt requests that have waited for a process without contact

The start of a process counts as contact now, so that a long time until the first frame is a gap, and old jobs wait for a second in contact if no other gateway is known.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,8 @@
 		Mu: &g.mu, Roster: g.roster, Clock: cfg.Clock, Log: g.log, Link: g.linkConfig(peerLinkTimeout),
 		Hello: message.Hello{Kind: message.KindEntry, Name: cfg.Name, Address: cfg.Advertise, Domain: cfg.Domain},
 	})
+	// Requests may have waited for this process while it had no contact.
+	g.scheduler.RecordContact(cfg.Clock.Now(), "")
 	g.metrics.registry.Collect(g.collect)
 	g.metrics.registry.RegisterDroppedLines(cfg.DroppedLogLines)
 	tree := daemon.NewSupervisor(cfg.Name, cfg.Logger)
--- a/proof/cut/gateway_test.go
+++ b/proof/cut/gateway_test.go
@@ -62,6 +62,7 @@
 		peers: map[string]*peerLink{}, dialing: make([]bool, w.gateways), pending: map[*queue.Job][]*submission{},
 	}
 	s.gateway = g
+	g.scheduler.RecordContact(w.now, "")
 	g.every(gatewayTick, func() { g.perform(g.scheduler.Tick(w.now)) })
 	g.every(dialPeriod, g.dial)
 	g.every(digestPeriod, func() {
--- a/queue/claim.go
+++ b/queue/claim.go
@@ -281,13 +281,16 @@
 		}
 		delete(j.unanswered, name)
 	}
-	if len(s.peers) == 0 || !needsClaim(now, j) {
+	if !needsClaim(now, j) {
 		return true
 	}
+	// After a gap, links to the entries that run are made within maxClaimWait.
+	if len(s.peers) == 0 {
+		return s.ContactAge(now) >= maxClaimWait
+	}
 	if !s.isClaimed(now, j) || s.contacts.inGap(now) {
 		return false
 	}
-	// After a gap, links to the entries that run are made within maxClaimWait.
 	return s.linkedPeerCount == len(s.peers) || s.ContactAge(now) >= maxClaimWait
 }
 
--- a/queue/claim_test.go
+++ b/queue/claim_test.go
@@ -194,6 +194,29 @@
 	assert.Equal(t, len(first.takeOrders()), 1, "a job that no other entry has is served within a tick")
 }
 
+// Guards against a submission that has waited for an entry which started behind a cut, and runs beside a later one.
+func TestOldSubmissionAtStartedEntry(t *testing.T) {
+	e := newEntries()
+	second := e.all[1]
+	h := newHarness("d1")
+	h.name, h.share, h.now = "e1", e.deliver, second.now
+	e.all[0] = h
+	h.scheduler.RecordContact(h.now, "")
+	e.cut["e1"] = true
+	e.advance(3000)
+	second.submit("a", 1, 900, 1500)
+	assert.Equal(t, len(second.takeOrders()), 1)
+	h.submit("a", 1, 900, 1500)
+	e.cut["e1"] = false
+	h.scheduler.RecordContact(h.now, "d1")
+	h.enroll("re1", "d1")
+	e.link(h, second)
+	e.link(h, e.all[2])
+	e.advance(200)
+	assert.Equal(t, len(h.takeOrders()), 0)
+	assert.Equal(t, h.answers["a"].Result, lavendercourse.JobInterrupted)
+}
+
 // Guards against a submission that a cut between callers and their entry has held up, which keeps in contact with runners and
 // other entries.
 func TestOldSubmissionAfterCutOfCallers(t *testing.T) {
--- a/queue/contact.go
+++ b/queue/contact.go
@@ -76,8 +76,8 @@
 	return age
 }
 
-// RecordContact records that a frame of a runner or another entry has arrived. The domain is its failure domain, or empty if that
-// is not known. It returns the length in ms of the gap without any frame that ends with it, or 0.
+// RecordContact records that a frame of a runner or another entry has arrived, or that the entry has started. The domain is the
+// failure domain of the sender, or empty if that is not known. It returns the length in ms of the gap without any frame that ends with it, or 0.
 func (s *Scheduler) RecordContact(now clock.Millis, domain string) clock.Millis {
 	if domain != "" && domain != s.cfg.Domain {
 		s.contacts.outside.record(now)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -67,7 +67,7 @@
 	// endedJobs holds the jobs that ended recently, by key.
 	endedJobs map[string]*endedJob
 	contacts  contacts
-	// startedAt is the time in ms of the first frame or link.
+	// startedAt is the time in ms of the first call of RecordContact or PeerLinked.
 	startedAt clock.Millis
 	// peers holds the other entries that are or were linked, by name.
 	peers           map[string]*peer
