--- a/proof/cut/cut_test.go
+++ b/proof/cut/cut_test.go
@@ -81,8 +81,9 @@
 	w := newWorld(seed, newScenario(seed, set))
 	w.run()
 	o := w.oracle
-	t.Logf("seed %d: %d gateways, %d runners, %d jobs, %d completed, %d runs, %d claims, %d waited for another gateway, %d given up, %d gone at arrival",
-		seed, w.scenario.gateways, w.scenario.runners, len(w.allJobs), o.completed, o.starts, o.claims, o.awaited, o.givenUp, o.goneAtArrival)
+	t.Logf("seed %d: %d gateways, %d runners, %d jobs, %d completed, %d runs, %d claims, "+
+		"%d waited for another gateway, %d given up, %d gone at arrival", seed, w.scenario.gateways, w.scenario.runners,
+		len(w.allJobs), o.completed, o.starts, o.claims, o.awaited, o.givenUp, o.goneAtArrival)
 	for i, v := range o.violations {
 		if i == maxShown {
 			t.Errorf("seed %d: %d more violations", seed, len(o.violations)-i)
--- a/proof/cut/gateway_test.go
+++ b/proof/cut/gateway_test.go
@@ -214,7 +214,8 @@
 		g.answer(sub, answer)
 		return
 	}
-	w.note(id, "%s takes submission %d, out of contact %d ms ago, waits for %q", g.name, sub.number, g.scheduler.ContactAge(w.now), queued.AwaitedPeer())
+	w.note(id, "%s takes submission %d, out of contact %d ms ago, waits for %q", g.name, sub.number,
+		g.scheduler.ContactAge(w.now), queued.AwaitedPeer())
 	if queued.AwaitedPeer() != "" {
 		w.oracle.awaited++
 	}
--- a/proof/cut/oracle_test.go
+++ b/proof/cut/oracle_test.go
@@ -71,8 +71,8 @@
 	key := keyOf(run.id)
 	w.note(run.id.Job, "worker of %s starts %v for %s", run.worker, run.id, run.gateway)
 	for _, other := range w.live[key] {
-		w.violate(checkTwice, w.jobs[run.id.Job], "%v starts on the worker of %s for %s while %v runs on that of %s for %s, since %d ms", run.id, run.worker,
-			run.gateway, other.id, other.worker, other.gateway, other.startedAt-startTime)
+		w.violate(checkTwice, w.jobs[run.id.Job], "%v starts on the worker of %s for %s while %v runs on that of %s for %s, since %d ms",
+			run.id, run.worker, run.gateway, other.id, other.worker, other.gateway, other.startedAt-startTime)
 	}
 	w.live[key] = append(w.live[key], run)
 }
--- a/proof/cut/runner_test.go
+++ b/proof/cut/runner_test.go
@@ -75,7 +75,8 @@
 func (m *machine) start() {
 	w := m.w
 	r := &runner{
-		host: newHost(w), m: m, name: m.name, table: room.New(room.Config{Epoch: epoch}), links: make([]*runnerLink, w.gateways), dialing: make([]bool, w.gateways),
+		host: newHost(w), m: m, name: m.name, table: room.New(room.Config{Epoch: epoch}),
+		links: make([]*runnerLink, w.gateways), dialing: make([]bool, w.gateways),
 	}
 	m.runner = r
 	if m.record.ID != "" {
@@ -166,7 +167,9 @@
 
 func (r *runner) sendEnroll(l *runnerLink, again bool) {
 	b, _ := r.table.Worker()
-	e := message.Enroll{Name: r.name, Domain: r.name, Service: b.Service, Worker: b.ID, Incarnation: b.Incarnation, Capacity: b.Capacity, Isolates: true}
+	e := message.Enroll{
+		Name: r.name, Domain: r.name, Service: b.Service, Worker: b.ID, Incarnation: b.Incarnation, Capacity: b.Capacity, Isolates: true,
+	}
 	l.toGateway(func() { l.g.perform(l.g.scheduler.Enroll(r.w.now, e, again)) })
 }
 
--- a/proof/cut/worker_test.go
+++ b/proof/cut/worker_test.go
@@ -51,7 +51,8 @@
 
 func newWorker(m *machine) *worker {
 	b := &worker{
-		host: newHost(m.w), m: m, slowness: m.w.between(0, maxSlowness), runs: map[lavendercourse.RunID]*workerRun{}, highest: map[taskKey]int{},
+		host: newHost(m.w), m: m, slowness: m.w.between(0, maxSlowness), runs: map[lavendercourse.RunID]*workerRun{},
+		highest: map[taskKey]int{},
 	}
 	b.every(heartbeatPeriod, b.heartbeat)
 	return b
