Count claims only where they were made, and silence outside own gaps

- A gateway that was cut off took the silence of the one that had the job, in its own gap, for the end of that one's runs.
- A gateway that kept a job forgot the other one when its caller came again (TestKeptJobIsSubmittedAgain).
- Runs that did not end for 15 s were forgotten (TestLongRunOfEarlierSubmission).

--- a/queue/claim.go
+++ b/queue/claim.go
@@ -76,6 +76,7 @@
 	for _, c := range jobs {
 		settled := message.SettledJob{Key: c.Key, Claimed: c.Claimed}
 		j := s.jobs[c.Key]
+		s.rememberClaim(now, name, c)
 		if j != nil && j.statedAge(now, name) < c.Age {
 			answer.Kept = append(answer.Kept, settled)
 			j.unanswered[name] = claimWait{since: now, holds: true}
@@ -92,7 +93,6 @@
 			}
 			actions = s.endJob(actions, now, j, lavendercourse.JobAnswer{Result: lavendercourse.JobInterrupted, Cause: causeElsewhere})
 		}
-		s.rememberClaim(now, name, c)
 		if s.runsInFlight[c.Key] > 0 || now < notBefore {
 			s.addClaimAnswer(name, settled, notBefore)
 			continue
@@ -191,6 +191,7 @@
 	var due []*Job
 	for _, j := range s.jobs {
 		if needsClaim(now, j) && !s.isClaimed(now, j) {
+			j.claimedAt = now
 			due = append(due, j)
 		}
 	}
@@ -213,6 +214,7 @@
 	}
 	// If there are many entries, the next tick claims all jobs of a burst in one frame to each of them.
 	if needsClaim(now, j) && s.linkedPeerCount <= maxClaimPeers {
+		j.claimedAt = now
 		peers = s.claimPeers
 	}
 	return s.claimAt(nil, now, []*Job{j}, peers)
@@ -234,13 +236,9 @@
 	sort.Slice(jobs, func(a, b int) bool { return jobs[a].key < jobs[b].key })
 	claims := map[string][]message.ClaimedJob{}
 	for _, j := range jobs {
-		names := peers(j)
-		if needsClaim(now, j) {
-			j.claimedAt = now
-		}
-		for _, name := range names {
+		for _, name := range peers(j) {
 			w := j.unanswered[name]
-			if !w.holds {
+			if !w.holds || now-w.since >= 2*s.cfg.RunExpiry {
 				w.since = now
 			}
 			w.claimedAt, w.age = now, j.age(now)
@@ -298,8 +296,8 @@
 func (s *Scheduler) answerExpired(now clock.Millis, j *Job, name string, w claimWait) bool {
 	p := s.peers[name]
 	if w.holds {
-		// The runs of an entry that is cut off or has ended expire.
-		return p == nil || now-p.lastHeard >= s.cfg.RunExpiry || now-w.since >= 2*s.cfg.RunExpiry
+		// The runs of an entry that is cut off or has ended expire. That it was not heard in a gap of this entry shows nothing.
+		return p == nil || now-max(p.lastHeard, s.contacts.since()) >= s.cfg.RunExpiry || now-w.since >= 2*s.cfg.RunExpiry
 	}
 	if p == nil || !p.linked || now-w.since >= maxClaimWait {
 		return true
--- a/queue/claim_test.go
+++ b/queue/claim_test.go
@@ -493,3 +493,20 @@
 		})
 	}
 }
+
+// Guards against a job that starts beside a run of an earlier submission that has not ended for longer than ended jobs are kept.
+func TestLongRunOfEarlierSubmission(t *testing.T) {
+	h := newHarness("d1")
+	h.enroll("r1", "d1")
+	j, _ := h.submit("a", 1, 100, 0)
+	assert.Equal(t, len(h.takeOrders()), 1)
+	h.perform(h.scheduler.CallerLeft(h.now, j))
+	for range 16 {
+		h.now += clock.Second
+		h.report("r1", capacity)
+		h.perform(h.scheduler.Tick(h.now))
+	}
+	assert.Equal(t, h.scheduler.InFlightOn("r1"), 1)
+	h.submit("a", 1, 100, 0)
+	assert.Equal(t, len(h.takeOrders()), 0)
+}
--- a/queue/contact_test.go
+++ b/queue/contact_test.go
@@ -254,3 +254,22 @@
 		})
 	}
 }
+
+// Guards against a submission that a gap has held up and that runs unclaimed in a large fleet.
+func TestLateSubmissionInLargeFleet(t *testing.T) {
+	for _, n := range []int{16, 17, 20} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprintf("p%02d", i)
+			}
+			h := newPeerHarness(names...)
+			h.now += 1500
+			h.advance(200)
+			h.submit("a", 1, 900, 0)
+			assert.Equal(t, len(h.takeOrders()), 0)
+			h.advance(4000)
+			assert.Equal(t, len(h.claimsOfA()), n)
+		})
+	}
+}
--- a/queue/peer_test.go
+++ b/queue/peer_test.go
@@ -515,3 +515,20 @@
 		assert.Equal(t, j.AwaitedPeer(), "")
 	}
 }
+
+// Guards against a wait for another entry that counts for the first submission of a kept job only.
+func TestKeptJobIsSubmittedAgain(t *testing.T) {
+	h := newPeerHarness("e2")
+	j, _ := h.submit("a", 1, 900, 0)
+	run := h.takeOrders()[0]
+	h.advance(500)
+	h.claim("e2", 1000)
+	assert.Equal(t, j.AwaitedPeer(), "e2")
+	h.perform(h.scheduler.CallerLeft(h.now, j))
+	h.endRun(run, lavendercourse.EndStopped, capacity)
+	h.advance(1300)
+	assert.Equal(t, len(h.free["e2"]), 0)
+	j, _ = h.submit("a", 1, 900, clock.Minute)
+	assert.Check(t, j.AwaitedPeer() == "e2")
+	assert.Equal(t, len(h.takeOrders()), 0, "e2 has not answered")
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -208,7 +208,7 @@
 	}
 	s.jobs[j.key] = j
 	s.waiting = append(s.waiting, j)
-	j.submittedAt, j.mayBeOld, j.resubmitted = now-maxAge, maxAge > 0, lastRunNumber > 0
+	j.submittedAt, j.mayBeOld, j.resubmitted = now-maxAge, maxAge > 0, s.runsInFlight[j.key] > 0
 	actions := s.claimNew(now, j)
 	return j, lavendercourse.JobAnswer{}, append(actions, s.dispatchThrottled(now)...)
 }
