Let the last submission keep a job, also after a gap

Its gateway had had no submission for longer than the first one had had the job. It counted the submission as old as that gap, so of the two jobs its own was the older one, and was given up. At a gateway with little traffic that happens to each caller that comes again (TestLaterSubmissionAtIdleEntry failed before).

A submission that may be old is claimed before it runs, as before, but its age counts from its arrival. So that an old one whose caller has left does not win over the later one elsewhere, the claim waits for 15 ms, in which the end of the connection arrives that follows what was held up.

--- a/event/event.go
+++ b/event/event.go
@@ -116,9 +116,9 @@
 	TaskNotStartedAgain = register(518, zerolog.WarnLevel, "task is not started again after crashes of workers that ran it; it is not known to be responsible")
 	QueuesChanged       = register(520, zerolog.InfoLevel, "queues changed")
 	ReadyChanged        = register(521, zerolog.InfoLevel, "readiness changed")
-	JobWaitsForPeer     = register(524, zerolog.InfoLevel, "job waits until its runs at another gateway have ended")
 	ContactRegained     = register(522, zerolog.WarnLevel, "gateway was out of contact with all runners and gateways")
 	CallerLeftBeforeJob = register(523, zerolog.InfoLevel, "caller had left before its job was taken; nothing of it ran")
+	JobWaitsForPeer     = register(524, zerolog.InfoLevel, "job waits until its runs at another gateway have ended")
 )
 
 // Events of a runner.
--- a/queue/claim.go
+++ b/queue/claim.go
@@ -12,6 +12,9 @@
 	// claimAfter is the age in ms from which on an entry claims a job at other entries. The caller may have left unseen, and
 	// submits the job to another entry 1.3 s later at the earliest, so that no other entry has it before.
 	claimAfter = clock.Second
+	// lateEndWait is the time in ms for which the claim of a submission that may be old waits for the end of its caller's
+	// connection, which arrives right behind a submission that was held up.
+	lateEndWait = 15 * clock.Millis(1)
 	// claimRefresh is the time in ms after which a job is claimed again. Other entries remember claims for endedJobRetention.
 	claimRefresh = 5 * clock.Second
 	// claimTimeout is the time in ms after which an entry does not wait for the answers of single entries any more, as long as
@@ -35,8 +38,8 @@
 
 // claimWait is an unanswered claim at one other entry.
 type claimWait struct {
-	// claimedAt is the time in ms of the claim, which its answer repeats, and age the age of the job that it states. Both are 0
-	// if the entry gives up the job without a claim.
+	// claimedAt is the time in ms of the last claim there, which its answer repeats, and age the age of the job that it states.
+	// Both are 0 if there was none: the other entry gives up the job after a claim of its own.
 	claimedAt clock.Millis
 	age       clock.Millis
 	// since is the time in ms from which on the job waits. holds is set if the other entry is known to have, or to have had, the
@@ -190,7 +193,7 @@
 	}
 	var due []*Job
 	for _, j := range s.jobs {
-		if needsClaim(now, j) && !s.isClaimed(now, j) {
+		if needsClaim(now, j) && !s.isClaimed(now, j) && j.age(now) >= lateEndWait {
 			j.claimedAt = now
 			due = append(due, j)
 		}
@@ -198,26 +201,18 @@
 	return s.claimAt(actions, now, due, s.claimPeers)
 }
 
-// claimNew claims a job that has just been submitted: at all other entries if the submission may be old, or at the entry that has
-// claimed the job. The job waits until the runs there have ended.
-func (s *Scheduler) claimNew(now clock.Millis, j *Job) []Action {
+// claimElsewhere claims a job that has just been submitted at the entry that has claimed it. The job waits until the runs there
+// have ended.
+func (s *Scheduler) claimElsewhere(now clock.Millis, j *Job) []Action {
 	c, claimed := s.claims[j.key]
-	claimed = claimed && c.expires > now
-	if claimed {
-		j.unanswered[c.peer] = claimWait{since: now, holds: true}
-	}
-	peers := func(*Job) []string {
-		if p := s.peers[c.peer]; claimed && p != nil && p.linked {
-			return []string{c.peer}
-		}
+	if !claimed || c.expires <= now {
 		return nil
 	}
-	// If there are many entries, the next tick claims all jobs of a burst in one frame to each of them.
-	if needsClaim(now, j) && s.linkedPeerCount <= maxClaimPeers {
-		j.claimedAt = now
-		peers = s.claimPeers
+	j.unanswered[c.peer] = claimWait{since: now, holds: true}
+	if p := s.peers[c.peer]; p == nil || !p.linked {
+		return nil
 	}
-	return s.claimAt(nil, now, []*Job{j}, peers)
+	return s.claimAt(nil, now, []*Job{j}, func(*Job) []string { return []string{c.peer} })
 }
 
 // claimPeers returns the names of the entries at which a job is claimed.
@@ -258,7 +253,7 @@
 }
 
 // needsClaim tells whether another entry may have the job.
-func needsClaim(now clock.Millis, j *Job) bool { return j.age(now) >= claimAfter }
+func needsClaim(now clock.Millis, j *Job) bool { return j.mayBeOld || j.age(now) >= claimAfter }
 
 // isClaimed tells whether the job has been claimed lately, and since the entry was last out of contact. Other entries may have got
 // the job meanwhile.
@@ -331,7 +326,7 @@
 	return waits && w.claimedAt == settled.Claimed
 }
 
-// age returns the time in ms for which the caller of the job may have been waiting.
+// age returns the time in ms since the last submission of the job.
 func (j *Job) age(now clock.Millis) clock.Millis { return now - j.submittedAt }
 
 // statedAge returns the age in ms that an unanswered claim at another entry states, so that two entries whose claims cross come to
--- a/queue/contact.go
+++ b/queue/contact.go
@@ -42,12 +42,9 @@
 	return now - c.heardAt
 }
 
-// lateAge returns how old, in ms, something may be that arrives now because the last gap has held it up.
-func (c *contact) lateAge(now clock.Millis) clock.Millis {
-	if c.gap == 0 || now-c.since >= lateWindow {
-		return 0
-	}
-	return c.gap + now - c.since
+// isLate tells whether something that arrives now may have been held up by a gap.
+func (c *contact) isLate(now clock.Millis) bool {
+	return c.currentGap(now) > 0 || c.gap > 0 && now-c.since < lateWindow
 }
 
 // contacts are the contacts of an entry: with all runners and other entries, with those outside its failure domain, which may be
@@ -68,12 +65,12 @@
 	return c.all.currentGap(now) > 0 || outside > 0 && outside < maxOutsideGap
 }
 
-// recordSubmission records a submission, and returns how old it may be in ms. While only the contact with the outside is lost,
-// what arrives is not held up.
-func (c *contacts) recordSubmission(now clock.Millis) clock.Millis {
-	age := max(c.all.currentGap(now), c.all.lateAge(now), c.outside.lateAge(now), c.callers.currentGap(now), c.callers.lateAge(now))
+// recordSubmission records a submission, and tells whether it may be old. While only the contact with the outside is lost, what
+// arrives is not held up.
+func (c *contacts) recordSubmission(now clock.Millis) bool {
+	late := c.all.isLate(now) || c.callers.isLate(now) || c.outside.currentGap(now) == 0 && c.outside.isLate(now)
 	c.callers.record(now)
-	return age
+	return late
 }
 
 // RecordContact records that a frame of a runner or another entry has arrived, or that the entry has started. The domain is the
--- a/queue/job.go
+++ b/queue/job.go
@@ -70,7 +70,7 @@
 	// remaining counts, for each step, the tasks that have not completed.
 	remaining []int
 	arrived   clock.Millis
-	// submittedAt is the earliest time in ms at which the caller may have sent the submission.
+	// submittedAt is the time in ms at which the last submission arrived.
 	submittedAt clock.Millis
 	// mayBeOld is set if the submission was held up for as long as a caller takes to come back, as far as the entry knows.
 	mayBeOld bool
@@ -187,11 +187,11 @@
 // Due returns the time in ms by which the job should end.
 func (j *Job) Due() clock.Millis { return j.due }
 
-// addCaller adds a caller that has submitted the job again. maxAge is how old the submission may be, in ms. The job is claimed anew,
-// since its age and the time limit of its callers have changed.
-func (j *Job) addCaller(now clock.Millis, s lavendercourse.Submission, maxAge clock.Millis) {
+// addCaller adds a caller that has submitted the job again. The job is claimed anew, since its age and the time limit of its
+// callers have changed.
+func (j *Job) addCaller(now clock.Millis, s lavendercourse.Submission) {
 	j.callers++
-	j.submittedAt, j.claimedAt = max(j.submittedAt, now-maxAge), 0
+	j.submittedAt, j.claimedAt = now, 0
 	deadline := deadlineOf(now, s)
 	if j.callerDeadline == 0 || deadline == 0 {
 		j.callerDeadline = 0
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -165,9 +165,9 @@
 // job. If the job ended a short time ago, because the caller's answer was lost or a repeated request arrives late, the
 // caller gets the same answer again, unless the job ended without a result.
 func (s *Scheduler) Submit(now clock.Millis, submission lavendercourse.Submission, q route.Queue, id string) (*Job, lavendercourse.JobAnswer, []Action) {
-	maxAge := s.contacts.recordSubmission(now)
+	mayBeOld := s.contacts.recordSubmission(now)
 	if j := s.jobs[q.Host+q.PathPrefix+id]; j != nil {
-		j.addCaller(now, submission, maxAge)
+		j.addCaller(now, submission)
 		return j, lavendercourse.JobAnswer{}, nil
 	}
 	if unsupported := unsupportedFeatures(submission, q); len(unsupported) > 0 {
@@ -208,8 +208,8 @@
 	}
 	s.jobs[j.key] = j
 	s.waiting = append(s.waiting, j)
-	j.submittedAt, j.mayBeOld, j.resubmitted = now-maxAge, maxAge > 0, s.runsInFlight[j.key] > 0
-	actions := s.claimNew(now, j)
+	j.mayBeOld, j.resubmitted = mayBeOld, s.runsInFlight[j.key] > 0
+	actions := s.claimElsewhere(now, j)
 	return j, lavendercourse.JobAnswer{}, append(actions, s.dispatchThrottled(now)...)
 }
 
