--- a/proof/cut/cut_test.go
+++ b/proof/cut/cut_test.go
@@ -15,6 +15,10 @@
 	firstSeed = flag.Uint64("cut.first", 1, "first seed of each simulation")
 )
 
+// claimSeedsFactor is the factor by which more seeds are played of the faults that have to exercise claims: about one seed in four
+// does.
+const claimSeedsFactor = 4
+
 // maxShown is the number of violations of one simulation that are shown.
 const maxShown = 2
 
@@ -65,8 +69,11 @@
 func TestNoTaskRunsTwice(t *testing.T) {
 	for _, set := range faultSets() {
 		t.Run(set.name, func(t *testing.T) {
-			givenUp := 0
-			for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+			givenUp, n := 0, *seeds
+			if set.exercisesClaims {
+				n *= claimSeedsFactor
+			}
+			for seed := *firstSeed; seed < *firstSeed+uint64(n); seed++ {
 				givenUp += simulate(t, seed, set)
 			}
 			if set.exercisesClaims && givenUp == 0 {
