--- a/queue/job.go
+++ b/queue/job.go
@@ -72,7 +72,7 @@
 	arrived   clock.Millis
 	// submittedAt is the time in ms at which the last submission arrived.
 	submittedAt clock.Millis
-	// mayBeOld is set if the submission was held up for as long as a caller takes to come back, as far as the entry knows.
+	// mayBeOld is set if a gap may have held up the submission.
 	mayBeOld bool
 	// claimedAt is the time in ms at which the job was last claimed at other entries, answeredAt that of the last answer, both 0
 	// if there was none. unanswered holds the claims that are not answered, by entry.
