--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -18,7 +19,7 @@
 	program := buildProgram(t)
 	for _, seed := range []uint64{1, 2} {
 		r, err := soak.Run(t.Context(), soak.Config{
-			Program: program, Dir: t.TempDir(), Seed: seed, Span: 12 * time.Second, Gateways: 3, Runners: 10, Callers: 12, Crashes: 0.05,
+			Program: program, Dir: logDir(t), Seed: seed, Span: 12 * time.Second, Gateways: 3, Runners: 10, Callers: 12, Crashes: 0.05,
 			Out: io.Discard,
 		})
 		assert.NilError(t, err, "seed %d", seed)
@@ -33,7 +34,7 @@
 	program := buildProgram(t)
 	for _, seed := range []uint64{101, 106} {
 		r, err := soak.Run(t.Context(), soak.Config{
-			Program: program, Dir: t.TempDir(), Seed: seed, Span: 25 * time.Second, Gateways: 4, Runners: 11, Callers: 50, Cuts: true,
+			Program: program, Dir: logDir(t), Seed: seed, Span: 25 * time.Second, Gateways: 4, Runners: 11, Callers: 50, Cuts: true,
 			Out: io.Discard,
 		})
 		assert.NilError(t, err, "seed %d", seed)
@@ -42,6 +43,20 @@
 	}
 }
 
+// logDir returns a folder for the logs of a soak, which is kept if the test fails.
+func logDir(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "soak")
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs are in %s", dir)
+			return
+		}
+		assert.NilError(t, os.RemoveAll(dir))
+	})
+	return dir
+}
+
 func buildProgram(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "lavendercourse")
 	out, err := exec.Command("go", "build", "-o", program, "../../cmd/lavendercourse").CombinedOutput()
@@ -64,7 +79,7 @@
 	} {
 		t.Run(c.cause, func(t *testing.T) {
 			r, err := soak.Run(t.Context(), soak.Config{
-				Program: program, Dir: t.TempDir(), Seed: c.seed, Span: 12 * time.Second, Gateways: 3, Runners: 6, Callers: 12,
+				Program: program, Dir: logDir(t), Seed: c.seed, Span: 12 * time.Second, Gateways: 3, Runners: 6, Callers: 12,
 				Out: io.Discard,
 			})
 			assert.NilError(t, err, "seed %d", c.seed)
