Log on which evidence a worker counts as ended, and when it answers again

616 names the evidence: a refused connection, an answer of another incarnation or of another worker, or a heartbeat. 617 is new: the worker lists its runs in an incarnation whose runs were reported as ended, which shows that they were given up while they ran. No logic is changed.

room, runner and event pass.

--- a/event/event.go
+++ b/event/event.go
@@ -139,4 +139,5 @@
 	WorkerLosesAnswers  = register(614, zerolog.WarnLevel, "worker leaves a share of the calls unanswered")
 	WorkerAnswersAll    = register(615, zerolog.InfoLevel, "worker answers all calls again")
 	WorkerCrashed       = register(616, zerolog.WarnLevel, "process of the worker ended")
+	WorkerReturned      = register(617, zerolog.WarnLevel, "worker answers in an incarnation whose runs were reported as ended")
 )
--- a/room/config.go
+++ b/room/config.go
@@ -155,7 +155,7 @@
 	return c.OrderValidity + c.WorkerLease + stopRetryInterval
 }
 
-// Action is an instruction to the runner: StartRun, StopRun, ReportCrash or ReportEnd.
+// Action is an instruction to the runner: StartRun, StopRun, ReportCrash, ReportReturn or ReportEnd.
 type Action interface{ action() }
 
 // StartRun instructs the runner to start a run on the worker and to pass the answer to Table.HandleStartReply.
@@ -203,9 +203,20 @@
 	// Silent is the time in ms since the worker's last answer, and Draining tells whether the worker was shutting down.
 	Silent   clock.Millis
 	Draining bool
+	// Evidence is what shows that the process ended, for logs.
+	Evidence string
 }
 
-func (StartRun) action()    {}
-func (StopRun) action()     {}
-func (ReportCrash) action() {}
-func (ReportEnd) action()   {}
+// ReportReturn instructs the runner to log that the worker answers in an incarnation whose runs were reported as ended.
+type ReportReturn struct {
+	Incarnation int64
+	// Away is the time in ms since the runs were reported as ended, and Running the number of runs that the worker has.
+	Away    clock.Millis
+	Running int
+}
+
+func (StartRun) action()     {}
+func (StopRun) action()      {}
+func (ReportCrash) action()  {}
+func (ReportReturn) action() {}
+func (ReportEnd) action()    {}
--- a/room/room.go
+++ b/room/room.go
@@ -34,6 +34,14 @@
 	causeNotIsolated       = "other runs on the worker did not end in time"
 )
 
+// Evidence for the end of an incarnation, as written to logs.
+const (
+	evidenceRefused   = "connection refused"
+	evidenceAnswer    = "answer of another incarnation"
+	evidenceOther     = "answer of another worker"
+	evidenceHeartbeat = "heartbeat of another incarnation"
+)
+
 // Table is the table of the runs on one worker. Times are in ms by the runner's clock unless noted. It is not safe for
 // concurrent use.
 type Table struct {
@@ -60,6 +68,9 @@
 	// incarnation identifies the worker process that the table describes, by WorkerReport.Incarnation; 0 means unknown.
 	// endIncarnation resets the fields that describe only this incarnation.
 	incarnation int64
+	// endedIncarnation is the last incarnation that endIncarnation has ended, at endedAt, or 0.
+	endedIncarnation int64
+	endedAt          clock.Millis
 	// token is the fencing token in use, or 0.
 	token int64
 	// lastEnd is the number of the last end that the worker listed and that was processed.
@@ -198,7 +209,7 @@
 	}
 	var actions []Action
 	if t.incarnation != 0 && report.Incarnation > t.incarnation {
-		actions = t.endIncarnation(now)
+		actions = t.endIncarnation(now, evidenceHeartbeat)
 	}
 	sameKind := t.hasReport && report.Incarnation == t.worker.Incarnation && report.ID == t.worker.ID &&
 		report.Service == t.worker.Service && slices.Equal(report.Labels, t.worker.Labels)
@@ -274,9 +285,10 @@
 // endIncarnation ends all runs and resets the state that belongs to the worker's incarnation. Unanswered starts may be
 // carried out by the next incarnation until it has listed its runs, so their runs become stateInDoubt and are not
 // reported as ended yet.
-func (t *Table) endIncarnation(now clock.Millis) []Action {
+func (t *Table) endIncarnation(now clock.Millis, evidence string) []Action {
+	t.endedIncarnation, t.endedAt = t.latestIncarnation(), now
 	report := ReportCrash{
-		Crash: message.Crash{Incarnation: t.latestIncarnation(), Runs: t.expired}, Silent: now - t.lastAnswer, Draining: t.draining,
+		Evidence: evidence, Crash: message.Crash{Incarnation: t.latestIncarnation(), Runs: t.expired}, Silent: now - t.lastAnswer, Draining: t.draining,
 		Observed: t.lastAnswer > 0 && now-t.lastAnswer < silentAfter && !t.draining,
 	}
 	for range t.expired {
@@ -320,6 +332,14 @@
 	return actions
 }
 
+// evidenceOf returns the evidence that an answer gives for the end of an incarnation.
+func evidenceOf(reply lavendercourse.Reply) string {
+	if reply == lavendercourse.ReplyIncarnation {
+		return evidenceOther
+	}
+	return evidenceAnswer
+}
+
 // HandleOrder processes an order of an entry: each run is started or refused. The order also renews the owner lease of
 // the entry.
 func (t *Table) HandleOrder(now clock.Millis, entry string, o message.Order) []Action {
@@ -502,7 +522,7 @@
 	if reply == lavendercourse.ReplyIncarnation || (status.Clock > 0 && status.Clock < run.workerClockAtStart) || !t.recordAnswer(now, status) {
 		// The incarnation that the start was sent to has ended, and with it all its runs. If the next incarnation has
 		// accepted the start, the run is in doubt.
-		return t.endIncarnation(now)
+		return t.endIncarnation(now, evidenceOf(reply))
 	}
 	if reply == lavendercourse.ReplyAccepted {
 		run.startsAnswered++
@@ -642,7 +662,7 @@
 		return nil
 	}
 	if reply == lavendercourse.ReplyIncarnation || !t.recordAnswer(now, status) {
-		return t.endIncarnation(now)
+		return t.endIncarnation(now, evidenceOf(reply))
 	}
 	if reply == lavendercourse.ReplyStaleToken {
 		t.handleTokenRefusal(now, token)
@@ -698,7 +718,7 @@
 		return nil
 	}
 	if reply == lavendercourse.ReplyIncarnation || !t.recordAnswer(now, workerRuns.Status) {
-		return t.endIncarnation(now)
+		return t.endIncarnation(now, evidenceOf(reply))
 	}
 	if reply == lavendercourse.ReplyStaleToken {
 		t.handleTokenRefusal(now, renewal.Token)
@@ -710,7 +730,7 @@
 	t.reconciled, t.tokenStep = true, initialTokenStep
 	t.clockOffset, t.hasClockOffset = workerRuns.Status.Clock-sent, true
 	old := t.isOldList(renewal, workerRuns)
-	actions := t.recordEnds(now, workerRuns.Ended)
+	actions := append(t.reportReturn(now, workerRuns), t.recordEnds(now, workerRuns.Ended)...)
 	if old {
 		return actions
 	}
@@ -718,6 +738,15 @@
 	return t.reconcile(actions, now, sent, workerRuns.Running)
 }
 
+// reportReturn reports that the worker lists its runs in an incarnation that was taken for ended.
+func (t *Table) reportReturn(now clock.Millis, workerRuns lavendercourse.WorkerRuns) []Action {
+	if t.endedIncarnation == 0 || workerRuns.Status.Incarnation != t.endedIncarnation {
+		return nil
+	}
+	t.endedIncarnation = 0
+	return []Action{ReportReturn{Incarnation: workerRuns.Status.Incarnation, Away: now - t.endedAt, Running: len(workerRuns.Running)}}
+}
+
 // isOldList reports whether the worker made a list before one that was processed already: its clock reads less, or it
 // does not show the last end that is known.
 func (t *Table) isOldList(renewal lavendercourse.Renewal, workerRuns lavendercourse.WorkerRuns) bool {
@@ -848,7 +877,7 @@
 		// The worker has not answered in the current incarnation, or that has been ended already.
 		return nil
 	}
-	return t.endIncarnation(now)
+	return t.endIncarnation(now, evidenceRefused)
 }
 
 // Tick applies all time-outs: it stops runs whose entry's lease has expired, ends the runs of a silent worker whose
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -295,6 +295,8 @@
 			r.stopRun(a)
 		case room.ReportCrash:
 			r.recordCrash(now, a)
+		case room.ReportReturn:
+			r.log.On(event.WorkerReturned).Int64("born", a.Incarnation).Int64("away", int64(a.Away)).Int("running", a.Running).Send()
 		case room.ReportEnd:
 			r.recordRunEnd(a)
 			ends[a.Entry] = append(ends[a.Entry], message.RunEnd{Run: a.Run, Kind: a.Kind, Reason: a.Reason, Duration: a.Duration})
@@ -366,7 +368,7 @@
 		runs = append(runs, fmt.Sprintf("%s.%d.%d.%d %d %s", c.Run.Job, c.Run.Step, c.Run.Task, c.Run.Run, c.Age, a.States[i]))
 	}
 	r.log.On(event.WorkerCrashed).Int64("born", a.Crash.Incarnation).Int64("silent", int64(a.Silent)).Bool("draining", a.Draining).
-		Bool("counted", a.Observed).Strs("runs", runs).Send()
+		Bool("counted", a.Observed).Str("evidence", a.Evidence).Strs("runs", runs).Send()
 	if !a.Observed {
 		return
 	}
