End the runs of a worker only by its own lists, a new incarnation, or its lease

Cause: the runner reported all runs of a worker as ended on the absence of something. A refused connection counted as the end of the process, although a worker that shuts down closes its listener first; a heartbeat with a later time of birth and an answer 421 counted as well, although both come from another worker, or from an earlier process when the time of day was set back; so did a list without a time of birth.

Now a run has ended when the worker lists its end or no longer lists it, when the worker that answers under the same id is a later process, or when its lease has expired by the clock. A worker that refuses connections, or at whose address another one answers, gets no new runs and its lease is not extended; the runs end with the lease unless it answers before. Heartbeats of another worker or process are kept until the present one has ended. A start whose connection was refused was not delivered: the run is refused at once and not sent again. The lease of runs that a predecessor left is taken for the longest that the platform grants, and a runner that inherited the report of another worker waits for that lease before it says that nothing runs.

--- a/proof/cut/runner_test.go
+++ b/proof/cut/runner_test.go
@@ -234,6 +234,12 @@
 			r.startRun(a)
 		case room.StopRun:
 			r.stopRun(a)
+		case room.DescribeWorker:
+			for _, l := range r.linked() {
+				if l.enrolled {
+					r.sendEnroll(l, true)
+				}
+			}
 		case room.ReportEnd:
 			r.w.note(a.Run.Job, "%s has the end of %v for %s: %v %v %s", r.name, a.Run, a.Entry, a.Kind, a.Reason, a.Cause)
 			ends[a.Entry] = append(ends[a.Entry], message.RunEnd{Run: a.Run, Kind: a.Kind, Reason: a.Reason, Duration: a.Duration})
--- a/room/config.go
+++ b/room/config.go
@@ -155,7 +155,8 @@
 	return c.OrderValidity + c.WorkerLease + stopRetryInterval
 }
 
-// Action is an instruction to the runner: StartRun, StopRun, ReportCrash, ReportReturn or ReportEnd.
+// Action is an instruction to the runner: StartRun, StopRun, ReportCrash, ReportReturn, ReportEnd or
+// DescribeWorker.
 type Action interface{ action() }
 
 // StartRun instructs the runner to start a run on the worker and to pass the answer to Table.HandleStartReply.
@@ -215,8 +216,13 @@
 	Running int
 }
 
-func (StartRun) action()     {}
-func (StopRun) action()      {}
-func (ReportCrash) action()  {}
-func (ReportReturn) action() {}
-func (ReportEnd) action()    {}
+// DescribeWorker instructs the runner to send entries the worker's description again: another worker or incarnation has taken the
+// place of the one before, and has sent its heartbeat already.
+type DescribeWorker struct{}
+
+func (StartRun) action()       {}
+func (StopRun) action()        {}
+func (ReportCrash) action()    {}
+func (ReportReturn) action()   {}
+func (ReportEnd) action()      {}
+func (DescribeWorker) action() {}
--- a/room/room.go
+++ b/room/room.go
@@ -32,14 +32,15 @@
 	causeIsolated          = "worker is reserved for one run"
 	causeLeaseTooShort     = "runs of a silent entry on the worker have not ended"
 	causeNotIsolated       = "other runs on the worker did not end in time"
+	causeUndelivered       = "worker could not be called"
 )
 
 // Evidence for the end of an incarnation, as written to logs.
 const (
-	evidenceRefused   = "connection refused"
-	evidenceAnswer    = "answer of another incarnation"
-	evidenceOther     = "answer of another worker"
-	evidenceHeartbeat = "heartbeat of another incarnation"
+	evidenceRefused  = "connection refused"
+	evidenceAnswer   = "answer of another incarnation"
+	evidenceOther    = "answer of another worker"
+	evidenceReplaced = "heartbeat of another worker, and no runs left"
 )
 
 // Table is the table of the runs on one worker. Times are in ms by the runner's clock unless noted. It is not safe for
@@ -71,6 +72,17 @@
 	// endedIncarnation is the last incarnation that endIncarnation has ended, at endedAt, or 0.
 	endedIncarnation int64
 	endedAt          clock.Millis
+	// unreachableAt is the time of the first sign since the worker's last answer that it cannot be called: its address refused
+	// a connection, or another worker answered there. unreachableBy is the evidence.
+	unreachableAt clock.Millis
+	unreachableBy string
+	// replacement is the last report of another worker or incarnation, which arrived at replacementAt and is used once the present
+	// one has ended. It is valid if hasReplacement is set.
+	replacement    lavendercourse.WorkerReport
+	replacementAt  clock.Millis
+	hasReplacement bool
+	// settledAt is the time from which on the worker's lists show all runs that a predecessor of this runner may have left.
+	settledAt clock.Millis
 	// token is the fencing token in use, or 0.
 	token int64
 	// lastEnd is the number of the last end that the worker listed and that was processed.
@@ -157,7 +169,7 @@
 	if t.inheritedAt != 0 && now-t.inheritedAt >= inheritedReportTimeout {
 		return false
 	}
-	return t.reportIsCurrent() && t.reportAge(now) <= t.heartbeatInterval+reportAgeMargin &&
+	return t.reportIsCurrent() && !t.restarts() && !t.refusedLately(now) && t.reportAge(now) <= t.heartbeatInterval+reportAgeMargin &&
 		!t.draining && !t.domainDrained && !t.shuttingDown && t.reconciled && len(t.foreign) == 0 && now-t.lastAnswer < silentAfter
 }
 
@@ -202,14 +214,45 @@
 func (t *Table) RefuseNewRuns() { t.shuttingDown = true }
 
 // HandleHeartbeat processes a heartbeat of the worker. It also returns whether entries have to be sent the worker's
-// description again, since it has changed.
+// description again, since it has changed. A heartbeat of another worker or incarnation does not end the runs of the present
+// one, which may go on beside it; it is kept until that has ended.
 func (t *Table) HandleHeartbeat(now clock.Millis, report lavendercourse.WorkerReport) ([]Action, bool) {
-	if t.isStale(report) {
+	if t.describesWorker(report) && t.isStale(report) {
+		return nil, false
+	}
+	if !t.canAdopt(now, report) {
+		t.replacement, t.replacementAt, t.hasReplacement = report, now, true
 		return nil, false
 	}
 	var actions []Action
-	if t.incarnation != 0 && report.Incarnation > t.incarnation {
-		actions = t.endIncarnation(now, evidenceHeartbeat)
+	if t.incarnation != 0 && !t.describesWorker(report) {
+		actions = t.endIncarnation(now, evidenceReplaced)
+	}
+	return actions, t.adopt(now, report)
+}
+
+// describesWorker reports whether a report is of the worker that the table describes, maybe of another incarnation.
+func (t *Table) describesWorker(report lavendercourse.WorkerReport) bool {
+	return !t.hasReport || report.ID == t.worker.ID
+}
+
+// canAdopt reports whether a report may take the place of the last one now: it is of the incarnation that answers, or none has
+// answered yet, or the worker that it replaces is leaving or silent and has no runs.
+func (t *Table) canAdopt(now clock.Millis, report lavendercourse.WorkerReport) bool {
+	switch {
+	case t.incarnation == 0:
+		return true
+	case t.describesWorker(report):
+		return report.Incarnation == t.incarnation
+	}
+	return t.reconciled && len(t.runs) == 0 && len(t.foreign) == 0 && (t.draining || !t.AnsweredWithin(now, silentAfter))
+}
+
+// adopt makes a report the last one, and returns whether entries have to be sent the worker's description again.
+func (t *Table) adopt(now clock.Millis, report lavendercourse.WorkerReport) bool {
+	if t.inheritedAt != 0 && report.ID != t.worker.ID {
+		// The new worker does not list the runs that a predecessor of this runner may have left on the old one.
+		t.settledAt = now + maxPlatformLease*(100+maxClockDriftPercent)/100
 	}
 	sameKind := t.hasReport && report.Incarnation == t.worker.Incarnation && report.ID == t.worker.ID &&
 		report.Service == t.worker.Service && slices.Equal(report.Labels, t.worker.Labels)
@@ -219,10 +262,13 @@
 	changed := !sameKind || !t.reportIsCurrent() || report.Capacity != t.worker.Capacity
 	t.measureInterval(now, report)
 	t.worker, t.hasReport, t.draining, t.inheritedAt, t.reportedAt = report, true, report.Draining, 0, now
-	t.incarnation = report.Incarnation
-	return actions, changed
+	t.hasReplacement = false
+	return changed
 }
 
+// restarts reports whether a heartbeat shows that the worker has restarted, before it answers in the new incarnation.
+func (t *Table) restarts() bool { return t.hasReplacement && t.describesWorker(t.replacement) }
+
 // measureInterval updates the interval of the heartbeats if the given one follows the last one.
 func (t *Table) measureInterval(now clock.Millis, report lavendercourse.WorkerReport) {
 	if t.reportedAt == 0 || report.Incarnation != t.worker.Incarnation || report.Sequence != t.worker.Sequence+1 {
@@ -287,16 +333,21 @@
 // reported as ended yet.
 func (t *Table) endIncarnation(now clock.Millis, evidence string) []Action {
 	t.endedIncarnation, t.endedAt = t.latestIncarnation(), now
+	// at is the time at which the process ended, as far as is known.
+	at := now
+	if t.Unreachable() {
+		at = t.unreachableAt
+	}
 	report := ReportCrash{
-		Evidence: evidence, Crash: message.Crash{Incarnation: t.latestIncarnation(), Runs: t.expired}, Silent: now - t.lastAnswer, Draining: t.draining,
-		Observed: t.lastAnswer > 0 && now-t.lastAnswer < silentAfter && !t.draining,
+		Evidence: evidence, Crash: message.Crash{Incarnation: t.latestIncarnation(), Ago: now - at, Runs: t.expired}, Silent: at - t.lastAnswer,
+		Draining: t.draining, Observed: t.lastAnswer > 0 && at-t.lastAnswer < silentAfter && !t.draining,
 	}
 	for range t.expired {
 		report.States = append(report.States, stateExpired)
 	}
 	var ends []Action
-	for _, ended := range t.endsSince(now - isolationDelay) {
-		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: ended.id, Age: now - ended.sentAt})
+	for _, ended := range t.endsSince(at - isolationDelay) {
+		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: ended.id, Age: at - ended.sentAt})
 		report.States = append(report.States, stateEnded)
 	}
 	for id := range t.foreign {
@@ -309,11 +360,11 @@
 			continue
 		}
 		if !run.neverStarted() {
-			report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: now - run.firstSentAt})
+			report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: at - run.firstSentAt})
 			report.States = append(report.States, run.state.String())
 		}
 		if run.startsSent > run.startsAnswered {
-			run.state, run.inDoubtSince, run.endKind, run.endCause = stateInDoubt, now, lavendercourse.EndCrashed, causeWorkerEnded
+			run.state, run.inDoubtSince, run.endKind, run.endCause = stateInDoubt, at, lavendercourse.EndCrashed, causeWorkerEnded
 			continue
 		}
 		ends = t.endRun(ends, now, run, lavendercourse.EndCrashed, lavendercourse.ReplyAccepted, causeWorkerEnded)
@@ -326,18 +377,15 @@
 	t.expired, t.recentEnds, t.isolated = nil, nil, nil
 	t.foreign = map[lavendercourse.RunID]bool{}
 	t.incarnation, t.token, t.lastEnd, t.workerClock, t.workerClockAt, t.grantedUntil, t.lastAnswer = 0, 0, 0, 0, 0, 0, 0
-	t.listedAt, t.hasClockOffset = 0, false
+	t.listedAt, t.hasClockOffset, t.unreachableAt = 0, false, 0
 	t.draining, t.reconciled, t.prevMaxToken = false, false, t.maxToken
 	t.pace = pace{}
-	return actions
-}
-
-// evidenceOf returns the evidence that an answer gives for the end of an incarnation.
-func evidenceOf(reply lavendercourse.Reply) string {
-	if reply == lavendercourse.ReplyIncarnation {
-		return evidenceOther
+	if t.hasReplacement && now-t.replacementAt <= inheritedReportTimeout {
+		t.adopt(now, t.replacement)
+		actions = append(actions, DescribeWorker{})
 	}
-	return evidenceAnswer
+	t.hasReplacement = false
+	return actions
 }
 
 // HandleOrder processes an order of an entry: each run is started or refused. The order also renews the owner lease of
@@ -519,10 +567,14 @@
 	if reply != lavendercourse.ReplyAccepted {
 		run.startsAnswered++
 	}
-	if reply == lavendercourse.ReplyIncarnation || (status.Clock > 0 && status.Clock < run.workerClockAtStart) || !t.recordAnswer(now, status) {
+	if reply == lavendercourse.ReplyIncarnation {
+		t.markUnreachable(now, evidenceOther)
+		return t.retryStart(now, run)
+	}
+	if (status.Clock > 0 && status.Clock < run.workerClockAtStart) || !t.recordAnswer(now, status) {
 		// The incarnation that the start was sent to has ended, and with it all its runs. If the next incarnation has
 		// accepted the start, the run is in doubt.
-		return t.endIncarnation(now, evidenceOf(reply))
+		return t.endIncarnation(now, evidenceAnswer)
 	}
 	if reply == lavendercourse.ReplyAccepted {
 		run.startsAnswered++
@@ -571,7 +623,9 @@
 	switch {
 	case run.state != stateStarting:
 		return nil
-	case run.startsSent < maxStartAttempts && t.leaseLeft(now) >= minStartLease:
+	case run.neverStarted():
+		return t.endRun(nil, now, run, lavendercourse.EndRefused, lavendercourse.ReplyUnavailable, causeUndelivered)
+	case !t.Unreachable() && !t.restarts() && run.startsSent < maxStartAttempts && t.leaseLeft(now) >= minStartLease:
 		return []Action{t.sendStart(now, run)}
 	default:
 		return t.stopRun(nil, now, run, lavendercourse.EndStopped, causeStartUnanswered)
@@ -653,7 +707,7 @@
 func (t *Table) HandleStopReply(now clock.Millis, id lavendercourse.RunID, token int64, status lavendercourse.WorkerStatus, reply lavendercourse.Reply, err error) []Action {
 	run := t.runs[keyOf(id)]
 	if err != nil {
-		if run != nil && run.id == id && run.state == stateStopping && run.stopAcceptedAt == 0 && run.stopsSent <= maxFastStops {
+		if run != nil && run.id == id && run.state == stateStopping && run.stopAcceptedAt == 0 && run.stopsSent <= maxFastStops && !t.Unreachable() {
 			return []Action{t.sendStop(now, run)}
 		}
 		return nil
@@ -661,8 +715,12 @@
 	if token <= t.prevMaxToken {
 		return nil
 	}
-	if reply == lavendercourse.ReplyIncarnation || !t.recordAnswer(now, status) {
-		return t.endIncarnation(now, evidenceOf(reply))
+	if reply == lavendercourse.ReplyIncarnation {
+		t.markUnreachable(now, evidenceOther)
+		return nil
+	}
+	if !t.recordAnswer(now, status) {
+		return t.endIncarnation(now, evidenceAnswer)
 	}
 	if reply == lavendercourse.ReplyStaleToken {
 		t.handleTokenRefusal(now, token)
@@ -675,13 +733,13 @@
 
 // NextRenewal returns the ID of the worker, which is empty if not known yet, the next renewal of its lease, and the time
 // in ms to wait for the answer. The renewal does not extend the lease if the worker has not answered within
-// leaseExtensionCutoff, or if the runs of a silent entry should have ended. Renewals may overlap.
+// leaseExtensionCutoff or cannot be reached, or if the runs of a silent entry should have ended. Renewals may overlap.
 func (t *Table) NextRenewal(now clock.Millis) (string, lavendercourse.Renewal, clock.Millis) {
 	if t.token == 0 {
 		t.raiseToken(now)
 	}
 	renewal := lavendercourse.Renewal{Token: t.token, AckedEnd: t.lastEnd}
-	if t.lastAnswer > 0 && now-t.lastAnswer < leaseExtensionCutoff {
+	if t.lastAnswer > 0 && now-t.lastAnswer < leaseExtensionCutoff && !t.Unreachable() {
 		left := t.leaseLeft(now)
 		if left > 0 {
 			renewal.LeaseExpiry = t.grantLease(now)
@@ -717,8 +775,16 @@
 	if renewal.Token <= t.prevMaxToken {
 		return nil
 	}
-	if reply == lavendercourse.ReplyIncarnation || !t.recordAnswer(now, workerRuns.Status) {
-		return t.endIncarnation(now, evidenceOf(reply))
+	if reply == lavendercourse.ReplyIncarnation {
+		t.markUnreachable(now, evidenceOther)
+		return nil
+	}
+	if workerRuns.Status.Incarnation == 0 {
+		// A list that does not name its incarnation shows nothing of the runs of this one.
+		return nil
+	}
+	if !t.recordAnswer(now, workerRuns.Status) {
+		return t.endIncarnation(now, evidenceAnswer)
 	}
 	if reply == lavendercourse.ReplyStaleToken {
 		t.handleTokenRefusal(now, renewal.Token)
@@ -727,7 +793,11 @@
 	if reply != lavendercourse.ReplyAccepted || renewal.Token != t.token {
 		return nil
 	}
-	t.reconciled, t.tokenStep = true, initialTokenStep
+	if t.hasReplacement && t.describesWorker(t.replacement) && sent > t.replacementAt {
+		// The heartbeat was delayed: it is of an earlier incarnation.
+		t.hasReplacement = false
+	}
+	t.reconciled, t.tokenStep = now >= t.settledAt, initialTokenStep
 	t.clockOffset, t.hasClockOffset = workerRuns.Status.Clock-sent, true
 	old := t.isOldList(renewal, workerRuns)
 	actions := append(t.reportReturn(now, workerRuns), t.recordEnds(now, workerRuns.Ended)...)
@@ -790,7 +860,9 @@
 		present[listed.Run] = true
 		run := t.runs[keyOf(listed.Run)]
 		if run == nil || run.id != listed.Run {
+			// The lease that the predecessor has granted is not known.
 			t.foreign[listed.Run] = true
+			t.grantedUntil = max(t.grantedUntil, t.workerClock+maxPlatformLease)
 			actions = append(actions, StopRun{Worker: t.worker.ID, Run: listed.Run, Token: t.token, Timeout: t.calls.timeout()})
 			continue
 		}
@@ -871,21 +943,42 @@
 	return run.estimate * clock.Millis(100-run.percent) / clock.Millis(t.pace.percent)
 }
 
-// WorkerDown records that nothing listens at the worker's address: its process has ended, and with it all runs.
-func (t *Table) WorkerDown(now clock.Millis) []Action {
-	if t.lastAnswer == 0 {
-		// The worker has not answered in the current incarnation, or that has been ended already.
-		return nil
+// HandleRefusedConnection records that the worker's address refused the connection for a call that was sent at the given time
+// in ms. This does not show that the worker's process has ended, with its runs: a worker that shuts down closes its listener
+// first. The runs end with the worker's lease, unless it answers before.
+func (t *Table) HandleRefusedConnection(now, sent clock.Millis) {
+	if t.lastAnswer > sent {
+		// The worker has answered another call meanwhile.
+		return
+	}
+	t.markUnreachable(now, evidenceRefused)
+}
+
+// markUnreachable records that the worker cannot be called.
+func (t *Table) markUnreachable(now clock.Millis, evidence string) {
+	if t.lastAnswer > 0 && !t.Unreachable() {
+		t.unreachableAt, t.unreachableBy = now, evidence
 	}
-	return t.endIncarnation(now, evidenceRefused)
+}
+
+// Unreachable reports whether the worker cannot be called since its last answer: its address refuses connections, or another worker
+// answers there.
+func (t *Table) Unreachable() bool { return t.unreachableAt > 0 && t.unreachableAt >= t.lastAnswer }
+
+// refusedLately reports whether the worker could not be called a short time ago. It may still answer on open connections.
+func (t *Table) refusedLately(now clock.Millis) bool {
+	return t.unreachableAt > 0 && now-t.unreachableAt < silentAfter
 }
 
 // Tick applies all time-outs: it stops runs whose entry's lease has expired, ends the runs of a silent worker whose
 // lease has expired and runs that were in doubt for Config.inDoubtTimeout, and repeats stops that had no effect. The runner
 // calls it periodically.
 func (t *Table) Tick(now clock.Millis) []Action {
+	if t.Unreachable() && t.leaseExpired(now) {
+		return t.endIncarnation(now, t.unreachableBy)
+	}
 	var actions []Action
-	workerLeaseExpired := t.workerLeaseExpired(now)
+	workerLeaseExpired := len(t.runs) > 0 && t.leaseExpired(now)
 	for _, run := range t.sortedRuns() {
 		switch {
 		case run.state == stateWaiting:
@@ -906,10 +999,10 @@
 	return actions
 }
 
-// workerLeaseExpired reports whether all runs on the worker must have ended because its lease has expired, even if its
-// clock is slow by maxClockDriftPercent.
-func (t *Table) workerLeaseExpired(now clock.Millis) bool {
-	if len(t.runs) == 0 || now-t.lastAnswer < silentAfter {
+// leaseExpired reports whether all runs on the worker must have ended because its lease has expired, even if its clock is slow
+// by maxClockDriftPercent.
+func (t *Table) leaseExpired(now clock.Millis) bool {
+	if now-t.lastAnswer < silentAfter {
 		return false
 	}
 	elapsed := now - t.workerClockAt
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -41,13 +41,7 @@
 	actions, changed := s.table.HandleHeartbeat(now, w)
 	s.perform(now, actions)
 	if changed {
-		s.log.On(event.WorkerReported).Str("worker", w.ID).Int64("born", w.Incarnation).Int("cpu", w.Capacity.CPU).
-			Int("memory", w.Capacity.Memory).Strs("labels", w.Labels).Int64("sequence", w.Sequence).Send()
-		for _, g := range s.gateways {
-			if g.enrolled {
-				s.sendEnroll(g, true)
-			}
-		}
+		s.describeWorker()
 	}
 	after, current := s.table.Worker()
 	if current {
@@ -63,6 +57,18 @@
 	return nil
 }
 
+// describeWorker logs the worker's description and sends it to the gateways again. The caller holds the mutex.
+func (r *Runner) describeWorker() {
+	w, _ := r.table.Worker()
+	r.log.On(event.WorkerReported).Str("worker", w.ID).Int64("born", w.Incarnation).Int("cpu", w.Capacity.CPU).
+		Int("memory", w.Capacity.Memory).Strs("labels", w.Labels).Int64("sequence", w.Sequence).Send()
+	for _, g := range r.gateways {
+		if g.enrolled {
+			r.sendEnroll(g, true)
+		}
+	}
+}
+
 // WorkerLeaving records that the worker is shutting down, and reports to the gateways that it takes no more runs.
 func (s reportSink) WorkerLeaving(worker string) {
 	s.mu.Lock()
@@ -219,14 +225,14 @@
 		// its speed.
 		took := now - sentAt - maxWait
 		switch {
-		case err != nil && late && !eris.Is(err, lavendercourse.ErrWorkerDown):
+		case err != nil && late && !eris.Is(err, lavendercourse.ErrWorkerRefused):
 			return
 		case err == nil && late:
 			r.table.RecordLateAnswer(took)
 		case err == nil && took >= 0:
 			r.table.RecordAnswerTime(took)
-		case eris.Is(err, lavendercourse.ErrWorkerDown):
-			r.endIncarnation(now, sentAt, err)
+		case eris.Is(err, lavendercourse.ErrWorkerRefused):
+			r.handleRefusedConnection(now, sentAt, err)
 		case err != nil && r.ctx.Err() == nil:
 			r.table.RecordLostAnswer()
 			r.metrics.callUnanswered()
@@ -256,16 +262,16 @@
 	r.log.On(e).Int64("timeout", int64(r.table.CallTimeout())).Int("doubt", r.table.RunsInDoubt()).Int("running", r.table.UnfinishedRuns()).Send()
 }
 
-// endIncarnation ends the worker's runs, since a call that was sent at the given time in ms found that the worker's process
-// is not running. The next process may have answered another call meanwhile. The caller holds the mutex.
-func (r *Runner) endIncarnation(now, sentAt clock.Millis, err error) {
-	if r.table.AnsweredWithin(now, now-sentAt) {
+// handleRefusedConnection handles a call that was sent at the given time in ms and was refused at the worker's address. The
+// caller holds the mutex.
+func (r *Runner) handleRefusedConnection(now, sentAt clock.Millis, err error) {
+	before := r.table.Unreachable()
+	r.table.HandleRefusedConnection(now, sentAt)
+	if before || !r.table.Unreachable() {
 		return
 	}
-	if r.table.AnsweredWithin(now, now) {
-		r.log.On(event.WorkerGone).Int("running", r.table.UnfinishedRuns()).Err(err).Send()
-	}
-	r.perform(now, r.table.WorkerDown(now))
+	r.log.On(event.WorkerRefuses).Int("running", r.table.UnfinishedRuns()).Err(err).Send()
+	r.reportToAll(now)
 }
 
 // checkWorkerSilence logs when the worker stops answering or answers again, and reports the load to the gateways.
@@ -295,6 +301,10 @@
 			r.stopRun(a)
 		case room.ReportCrash:
 			r.recordCrash(now, a)
+		case room.DescribeWorker:
+			r.describeWorker()
+			w, _ := r.table.Worker()
+			r.updateRecord(w)
 		case room.ReportReturn:
 			r.log.On(event.WorkerReturned).Int64("born", a.Incarnation).Int64("away", int64(a.Away)).Int("running", a.Running).Send()
 		case room.ReportEnd:
@@ -323,7 +333,7 @@
 	var reply lavendercourse.Reply
 	r.callWorker(0, a.Timeout, func() (err error) {
 		status, reply, err = r.cfg.Worker.Start(r.ctx, a.Worker, a.Order)
-		if eris.Is(err, lavendercourse.ErrWorkerDown) {
+		if eris.Is(err, lavendercourse.ErrWorkerRefused) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.table.HandleUndeliveredStart(a.Order.Run)
--- a/taskworker.go
+++ b/taskworker.go
@@ -141,8 +141,9 @@
 	return replyNames[r]
 }
 
-// ErrWorkerDown is returned when the address of a worker refuses connections, since its process has ended.
-var ErrWorkerDown = eris.New("worker is not running")
+// ErrWorkerRefused is returned when the address of a worker refuses the connection for a request, which therefore was not
+// delivered. The worker may still run: it closes its listener before it shuts down.
+var ErrWorkerRefused = eris.New("worker refused the connection")
 
 // TaskWorker sends requests to workers that run tasks under leases. An error means that no answer arrived: the request
 // may have been carried out, or may still be.
