Tell gateways of a crash before its runs have certainly ended, and withdraw it if the worker answers

The runs of a worker that refuses connections end with its lease, up to a second after the refusal, so crash reports came a second later, too.

Evidence and proof are told apart now. The refusal of a worker that answered until then is evidence: gateways are told at once, and told otherwise if the worker answers in the same incarnation (618). The end of its runs still waits for proof. Now crashes of workers that had a run of about the same age do not count into that rate, and a queue is contained when the crash is told.

--- a/event/event.go
+++ b/event/event.go
@@ -138,6 +138,7 @@
 	RunEnded            = register(613, zerolog.InfoLevel, "run ended")
 	WorkerLosesAnswers  = register(614, zerolog.WarnLevel, "worker leaves a share of the calls unanswered")
 	WorkerAnswersAll    = register(615, zerolog.InfoLevel, "worker answers all calls again")
-	WorkerCrashed       = register(616, zerolog.WarnLevel, "process of the worker ended")
+	WorkerCrashed       = register(616, zerolog.WarnLevel, "process of the worker ended, or has probably ended")
 	WorkerReturned      = register(617, zerolog.WarnLevel, "worker answers in an incarnation whose runs were reported as ended")
+	WorkerNotCrashed    = register(618, zerolog.InfoLevel, "worker answers; it has not crashed")
 )
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -220,6 +220,10 @@
 		if err := f.DecodeBody(&c); err != nil {
 			return err
 		}
+		if f.Number == message.CrashWithdrawn {
+			g.scheduler.WithdrawCrash(name, c.Incarnation)
+			break
+		}
 		g.perform(g.scheduler.HandleCrash(now, name, c))
 	case message.TypeEnded:
 		var e message.Ended
--- a/message/queue.go
+++ b/message/queue.go
@@ -94,6 +94,9 @@
 	Ends   []RunEnd
 }
 
+// CrashWithdrawn is the number of a TypeCrash frame that withdraws the crash of an incarnation, which turned out to be running.
+const CrashWithdrawn = 1
+
 // Crash reports to all gateways of a runner that the process of its worker ended, with the runs that it had, whichever
 // gateway ordered them.
 type Crash struct {
--- a/proof/crash/caller_test.go
+++ b/proof/crash/caller_test.go
@@ -35,6 +35,8 @@
 	submission lavendercourse.Submission
 	submitted  int
 	bad        bool
+	// startedAt is the time in ms at which a task of the job was last started.
+	startedAt clock.Millis
 }
 
 // submission is one request of a caller.
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -81,9 +81,8 @@
 	id       CrashID
 	at       clock.Millis
 	suspects []Suspect
-	// workers is the number of workers at that time, and hazard the rate of crashes, for each worker and ms.
+	// workers is the number of workers at that time.
 	workers int
-	hazard  float64
 	// explained is set once another cause is known: a task that is responsible, or a common cause.
 	explained bool
 	// common is set if many workers crashed at the same time.
@@ -146,7 +145,7 @@
 			l.byTask[s.Task] = append(known, c)
 		}
 	}
-	c.workers, c.hazard = max(workers, 1), l.hazard(at, workers)
+	c.workers = max(workers, 1)
 	l.explainCommonCause(at, workers)
 	return true
 }
@@ -177,10 +176,16 @@
 	return max(float64(all)/float64(crashed.workers)/float64(hazardWindow), float64(same)/float64(hazardWindow), minHazard)
 }
 
-// hazard returns the rate of crashes for each worker and ms.
-func (l *Ledger) hazard(at clock.Millis, workers int) float64 {
-	n := len(l.within(at, hazardWindow))
-	return max(float64(n)/float64(max(workers, 1))/float64(hazardWindow), minHazard)
+// unrelated returns the rate, for each worker and ms, of the crashes up to the given one of workers that ran nothing of about the
+// given age. Tasks of one kind crash their workers at the same point of their runs, so the others say nothing against chance.
+func (l *Ledger) unrelated(crashed *crash, age clock.Millis) float64 {
+	n := 0
+	for _, c := range l.within(crashed.at, hazardWindow) {
+		if !slices.ContainsFunc(c.suspects, func(s Suspect) bool { return isNear(s.Age, age) }) {
+			n++
+		}
+	}
+	return max(float64(n)/float64(crashed.workers)/float64(hazardWindow), minHazard)
 }
 
 // explainCommonCause marks the crashes of the last commonCauseWindow as explained if many workers crashed in it.
@@ -214,9 +219,19 @@
 	}
 }
 
-func (l *Ledger) forgetOldest() {
-	c := l.crashes[0]
-	l.crashes = l.crashes[1:]
+func (l *Ledger) forgetOldest() { l.forget(l.crashes[0]) }
+
+// Withdraw forgets a crash that did not happen.
+func (l *Ledger) Withdraw(id CrashID) {
+	if c := l.byID[id]; c != nil {
+		l.forget(c)
+	}
+}
+
+// forget removes a remembered crash.
+func (l *Ledger) forget(c *crash) {
+	i := slices.Index(l.crashes, c)
+	l.crashes = slices.Delete(l.crashes, i, i+1)
 	delete(l.byID, c.id)
 	for _, s := range c.suspects {
 		l.byTask[s.Task] = slices.DeleteFunc(l.byTask[s.Task], func(other *crash) bool { return other == c })
@@ -331,10 +346,10 @@
 	}
 	best := 0.0
 	for i, reference := range ages {
-		sum := -logChance(crashes[i].hazard, max(reference, minExposure))
+		sum := -logChance(l.unrelated(crashes[i], reference), max(reference, minExposure))
 		for k, age := range ages {
 			if k != i && isNear(age, reference) {
-				sum -= logChance(crashes[k].hazard, 2*tolerance(reference))
+				sum -= logChance(l.unrelated(crashes[k], reference), 2*tolerance(reference))
 			}
 		}
 		best = max(best, sum)
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -234,3 +234,26 @@
 		assert.Assert(t, crashes <= maxCrashes, "%d crashes", crashes)
 	})
 }
+
+// Guards against bad tasks of one kind that hide each other: each crashes its first worker beside others, and the rate of crashes
+// seems to explain them all.
+func TestBadTasksOfOneKindAreSuspected(t *testing.T) {
+	l := quarantine.NewLedger()
+	for i := range 6 {
+		l.Record(clock.Millis(100*i), 0, crashID(i), []quarantine.Suspect{{Task: task(fmt.Sprint("bad", i)), Age: runAge}}, workers)
+	}
+	l.Record(700, 0, crashID(6), []quarantine.Suspect{{Task: task("bad5"), Age: runAge + 2}}, workers)
+	assert.Assert(t, l.Suspected(task("bad5")))
+	assert.Assert(t, !l.Suspected(task("bad1")))
+}
+
+// Guards against evidence from a crash that turned out not to have happened.
+func TestWithdrawnCrashIsForgotten(t *testing.T) {
+	l := quarantine.NewLedger()
+	record(l, []clock.Millis{60, 62}, []string{"a", "b"}, []string{"a"})
+	l.Withdraw(crashID(0))
+	l.Withdraw(crashID(7))
+	assert.Equal(t, l.Crashes(task("a")), 1)
+	assert.Equal(t, l.Crashes(task("b")), 0)
+	assert.Assert(t, l.Record(200, 0, crashID(0), nil, workers), "the incarnation may crash later")
+}
--- a/queue/crash.go
+++ b/queue/crash.go
@@ -32,6 +32,11 @@
 			continue
 		}
 		q := task.job.queue
+		if !task.contained && s.ledger.Suspected(task.quarantineKey()) {
+			task.contained = true
+			actions = append(actions, s.containQueue(now, q, task.job.id, nil))
+			continue
+		}
 		if s.contains(q) && !s.knowsCause(q, cause) && !s.explainsCrash(q, c) {
 			actions = append(actions, s.containQueue(now, q, cause, nil))
 		}
@@ -39,6 +44,11 @@
 	return actions
 }
 
+// WithdrawCrash forgets a crash that was reported by mistake: the worker answers in the same incarnation.
+func (s *Scheduler) WithdrawCrash(runner string, incarnation int64) {
+	s.ledger.Withdraw(quarantine.CrashID{Runner: runner, Incarnation: incarnation})
+}
+
 // markSuspects marks the tasks of a crash, wherever they are now: the entry may be told of the crash after the runs have
 // ended, on a new link.
 func (s *Scheduler) markSuspects(suspects []quarantine.Suspect) {
--- a/queue/crash_test.go
+++ b/queue/crash_test.go
@@ -407,3 +407,41 @@
 	a := h.answers["innocent"]
 	assert.Assert(t, a.Result != lavendercourse.JobFailed, a.Cause)
 }
+
+// Guards against a queue that uses all workers until the leases of those that its tasks have crashed have expired.
+func TestQueueIsContainedBeforeItsRunsHaveEnded(t *testing.T) {
+	h := newHarness("d1")
+	for _, name := range []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8", "r9"} {
+		h.enroll(name, "d1")
+	}
+	h.submit("bad", 1, 60, 20*clock.Second)
+	first := h.takeOrders()
+	h.now += 60
+	h.crash(first[0].runner, first[0].run)
+	h.endRun(first[0], lavendercourse.EndCrashed, capacity)
+	second := h.takeOrders()
+	assert.Equal(t, len(second), 1)
+	assert.Equal(t, len(h.scheduler.Verdicts()), 0)
+	h.now += 60
+	h.crash(second[0].runner, second[0].run)
+	assert.Equal(t, len(h.scheduler.Verdicts()), 1)
+}
+
+// Guards against a worker that counts as crashed although it answers in the same incarnation.
+func TestWithdrawnCrashOfWorkerIsNoEvidence(t *testing.T) {
+	h := newHarness("d1")
+	for _, name := range []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8", "r9"} {
+		h.enroll(name, "d1")
+	}
+	h.submit("good", 1, 60, 20*clock.Second)
+	for range 4 {
+		sent := h.takeOrders()
+		assert.Equal(t, len(sent), 1)
+		h.now += 60
+		h.crash(sent[0].runner, sent[0].run)
+		h.scheduler.WithdrawCrash(sent[0].runner, h.crashed)
+		h.endRun(sent[0], lavendercourse.EndExpired, capacity)
+	}
+	assert.Equal(t, len(h.scheduler.Verdicts()), 0)
+	assert.Equal(t, len(h.answers), 0)
+}
--- a/room/config.go
+++ b/room/config.go
@@ -155,8 +155,8 @@
 	return c.OrderValidity + c.WorkerLease + stopRetryInterval
 }
 
-// Action is an instruction to the runner: StartRun, StopRun, ReportCrash, ReportReturn, ReportEnd or
-// DescribeWorker.
+// Action is an instruction to the runner: StartRun, StopRun, ReportCrash, WithdrawCrash, ReportReturn,
+// ReportEnd or DescribeWorker.
 type Action interface{ action() }
 
 // StartRun instructs the runner to start a run on the worker and to pass the answer to Table.HandleStartReply.
@@ -191,8 +191,8 @@
 	Cause string
 }
 
-// ReportCrash instructs the runner to log that the worker's process ended while it may have executed the given runs. It
-// comes before the ReportEnd actions of these runs. A crash of an idle worker has no runs: it shows that the worker crashes for
+// ReportCrash instructs the runner to log that the worker's process ended, or has probably ended, while it may have executed the
+// given runs. It comes before the ReportEnd actions of these runs, which may follow later. A crash of an idle worker has no runs: it shows that the worker crashes for
 // other reasons.
 type ReportCrash struct {
 	Crash message.Crash
@@ -208,6 +208,9 @@
 	Evidence string
 }
 
+// WithdrawCrash instructs the runner to tell entries that the worker has not crashed: it answers in the given incarnation.
+type WithdrawCrash struct{ Incarnation int64 }
+
 // ReportReturn instructs the runner to log that the worker answers in an incarnation whose runs were reported as ended.
 type ReportReturn struct {
 	Incarnation int64
@@ -223,6 +226,7 @@
 func (StartRun) action()       {}
 func (StopRun) action()        {}
 func (ReportCrash) action()    {}
+func (WithdrawCrash) action()  {}
 func (ReportReturn) action()   {}
 func (ReportEnd) action()      {}
 func (DescribeWorker) action() {}
--- a/room/crash_test.go
+++ b/room/crash_test.go
@@ -1,6 +1,7 @@
 package room_test
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -163,3 +164,27 @@
 		assert.Equal(t, len(runs), 0, "%v was refused and is named in a crash", runs)
 	}
 }
+
+// Guards against a bad task that is noticed only when the lease of its worker has expired, and against a crash that counts
+// although the worker has only refused a connection.
+func TestCrashIsReportedAtOnceAndWithdrawn(t *testing.T) {
+	h := newReadyHarness(t)
+	h.order(runID(0))
+	h.renew(lavendercourse.ReplyAccepted, runID(0))
+	assert.DeepEqual(t, observed(h.table.HandleRefusedConnection(h.now, h.now)), []bool{true})
+	assert.Equal(t, len(h.table.HandleRefusedConnection(h.now, h.now)), 0)
+	h.now++
+	withdrawn := room.Action(room.WithdrawCrash{Incarnation: firstIncarnation})
+	assert.Assert(t, slices.Contains(comparableActions(h.renew(lavendercourse.ReplyAccepted, runID(0))), withdrawn))
+	assert.Assert(t, !slices.Contains(comparableActions(h.renew(lavendercourse.ReplyAccepted, runID(0))), withdrawn))
+	// A later crash of the same incarnation.
+	assert.DeepEqual(t, observed(h.refuseUntilLeaseExpires()), []bool{true})
+}
+
+// comparableActions returns the actions that can be compared, which reports of crashes cannot.
+func comparableActions(actions []room.Action) []room.Action {
+	return slices.DeleteFunc(slices.Clone(actions), func(a room.Action) bool {
+		_, ok := a.(room.ReportCrash)
+		return ok
+	})
+}
--- a/room/room.go
+++ b/room/room.go
@@ -76,6 +76,8 @@
 	// a connection, or another worker answered there. unreachableBy is the evidence.
 	unreachableAt clock.Millis
 	unreachableBy string
+	// crashReported is set once entries were told that the present incarnation has crashed.
+	crashReported bool
 	// replacement is the last report of another worker or incarnation, which arrived at replacementAt and is used once the present
 	// one has ended. It is valid if hasReplacement is set.
 	replacement    lavendercourse.WorkerReport
@@ -338,46 +340,25 @@
 	if t.Unreachable() {
 		at = t.unreachableAt
 	}
-	report := ReportCrash{
-		Evidence: evidence, Crash: message.Crash{Incarnation: t.latestIncarnation(), Ago: now - at, Runs: t.expired}, Silent: at - t.lastAnswer,
-		Draining: t.draining, Observed: t.lastAnswer > 0 && at-t.lastAnswer < silentAfter && !t.draining,
-	}
-	for range t.expired {
-		report.States = append(report.States, stateExpired)
-	}
-	var ends []Action
-	for _, ended := range t.endsSince(at - isolationDelay) {
-		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: ended.id, Age: at - ended.sentAt})
-		report.States = append(report.States, stateEnded)
-	}
-	for id := range t.foreign {
-		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: id})
-		report.States = append(report.States, stateForeign)
+	var actions []Action
+	if report := t.crashReport(now, at, evidence); !t.crashReported && (len(report.Crash.Runs) > 0 || report.Observed) {
+		actions = append(actions, report)
 	}
 	for _, run := range t.sortedRuns() {
 		if run.state == stateWaiting {
-			ends = t.endRun(ends, now, run, lavendercourse.EndRefused, lavendercourse.ReplyUnavailable, causeWorkerEnded)
+			actions = t.endRun(actions, now, run, lavendercourse.EndRefused, lavendercourse.ReplyUnavailable, causeWorkerEnded)
 			continue
 		}
-		if !run.neverStarted() {
-			report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: at - run.firstSentAt})
-			report.States = append(report.States, run.state.String())
-		}
 		if run.startsSent > run.startsAnswered {
 			run.state, run.inDoubtSince, run.endKind, run.endCause = stateInDoubt, at, lavendercourse.EndCrashed, causeWorkerEnded
 			continue
 		}
-		ends = t.endRun(ends, now, run, lavendercourse.EndCrashed, lavendercourse.ReplyAccepted, causeWorkerEnded)
-	}
-	var actions []Action
-	if len(report.Crash.Runs) > 0 || report.Observed {
-		actions = append(actions, report)
+		actions = t.endRun(actions, now, run, lavendercourse.EndCrashed, lavendercourse.ReplyAccepted, causeWorkerEnded)
 	}
-	actions = append(actions, ends...)
 	t.expired, t.recentEnds, t.isolated = nil, nil, nil
 	t.foreign = map[lavendercourse.RunID]bool{}
 	t.incarnation, t.token, t.lastEnd, t.workerClock, t.workerClockAt, t.grantedUntil, t.lastAnswer = 0, 0, 0, 0, 0, 0, 0
-	t.listedAt, t.hasClockOffset, t.unreachableAt = 0, false, 0
+	t.listedAt, t.hasClockOffset, t.unreachableAt, t.crashReported = 0, false, 0, false
 	t.draining, t.reconciled, t.prevMaxToken = false, false, t.maxToken
 	t.pace = pace{}
 	if t.hasReplacement && now-t.replacementAt <= inheritedReportTimeout {
@@ -388,6 +369,32 @@
 	return actions
 }
 
+// crashReport returns the report of a crash of the worker at the given time in ms, with the runs that it may have had.
+func (t *Table) crashReport(now, at clock.Millis, evidence string) ReportCrash {
+	report := ReportCrash{
+		Evidence: evidence, Crash: message.Crash{Incarnation: t.latestIncarnation(), Ago: now - at, Runs: slices.Clone(t.expired)}, Silent: at - t.lastAnswer,
+		Draining: t.draining, Observed: t.lastAnswer > 0 && at-t.lastAnswer < silentAfter && !t.draining,
+	}
+	for range t.expired {
+		report.States = append(report.States, stateExpired)
+	}
+	for _, ended := range t.endsSince(at - isolationDelay) {
+		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: ended.id, Age: at - ended.sentAt})
+		report.States = append(report.States, stateEnded)
+	}
+	for id := range t.foreign {
+		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: id})
+		report.States = append(report.States, stateForeign)
+	}
+	for _, run := range t.sortedRuns() {
+		if run.state != stateWaiting && !run.neverStarted() {
+			report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: at - run.firstSentAt})
+			report.States = append(report.States, run.state.String())
+		}
+	}
+	return report
+}
+
 // HandleOrder processes an order of an entry: each run is started or refused. The order also renews the owner lease of
 // the entry.
 func (t *Table) HandleOrder(now clock.Millis, entry string, o message.Order) []Action {
@@ -800,7 +807,8 @@
 	t.reconciled, t.tokenStep = now >= t.settledAt, initialTokenStep
 	t.clockOffset, t.hasClockOffset = workerRuns.Status.Clock-sent, true
 	old := t.isOldList(renewal, workerRuns)
-	actions := append(t.reportReturn(now, workerRuns), t.recordEnds(now, workerRuns.Ended)...)
+	actions := append(t.withdrawCrash(), t.reportReturn(now, workerRuns)...)
+	actions = append(actions, t.recordEnds(now, workerRuns.Ended)...)
 	if old {
 		return actions
 	}
@@ -808,6 +816,15 @@
 	return t.reconcile(actions, now, sent, workerRuns.Running)
 }
 
+// withdrawCrash withdraws the report of a crash of the present incarnation, which answers.
+func (t *Table) withdrawCrash() []Action {
+	if !t.crashReported {
+		return nil
+	}
+	t.crashReported = false
+	return []Action{WithdrawCrash{Incarnation: t.incarnation}}
+}
+
 // reportReturn reports that the worker lists its runs in an incarnation that was taken for ended.
 func (t *Table) reportReturn(now clock.Millis, workerRuns lavendercourse.WorkerRuns) []Action {
 	if t.endedIncarnation == 0 || workerRuns.Status.Incarnation != t.endedIncarnation {
@@ -945,13 +962,20 @@
 
 // HandleRefusedConnection records that the worker's address refused the connection for a call that was sent at the given time
 // in ms. This does not show that the worker's process has ended, with its runs: a worker that shuts down closes its listener
-// first. The runs end with the worker's lease, unless it answers before.
-func (t *Table) HandleRefusedConnection(now, sent clock.Millis) {
-	if t.lastAnswer > sent {
-		// The worker has answered another call meanwhile.
-		return
+// first. The runs end with the worker's lease, unless it answers before. Entries are told at once that the worker has probably
+// crashed, as a task that crashes its workers must be found quickly; this is withdrawn if the worker answers.
+func (t *Table) HandleRefusedConnection(now, sent clock.Millis) []Action {
+	if t.lastAnswer > sent || t.Unreachable() {
+		// The worker has answered another call meanwhile, or this is known.
+		return nil
 	}
 	t.markUnreachable(now, evidenceRefused)
+	report := t.crashReport(now, now, evidenceRefused)
+	if !t.Unreachable() || !report.Observed || t.crashReported {
+		return nil
+	}
+	t.crashReported = true
+	return []Action{report}
 }
 
 // markUnreachable records that the worker cannot be called.
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -266,7 +267,7 @@
 // caller holds the mutex.
 func (r *Runner) handleRefusedConnection(now, sentAt clock.Millis, err error) {
 	before := r.table.Unreachable()
-	r.table.HandleRefusedConnection(now, sentAt)
+	r.perform(now, r.table.HandleRefusedConnection(now, sentAt))
 	if before || !r.table.Unreachable() {
 		return
 	}
@@ -301,6 +302,8 @@
 			r.stopRun(a)
 		case room.ReportCrash:
 			r.recordCrash(now, a)
+		case room.WithdrawCrash:
+			r.withdrawCrash(a.Incarnation)
 		case room.DescribeWorker:
 			r.describeWorker()
 			w, _ := r.table.Worker()
@@ -382,7 +385,7 @@
 	if !a.Observed {
 		return
 	}
-	r.crashes = append(r.crashes, pastCrash{at: now, crash: a.Crash})
+	r.crashes = append(r.crashes, pastCrash{at: now - a.Crash.Ago, crash: a.Crash})
 	if len(r.crashes) > maxCrashes {
 		r.crashes = r.crashes[1:]
 	}
@@ -394,6 +397,18 @@
 	}
 }
 
+// withdrawCrash tells all gateways that the worker has not crashed in the given incarnation.
+func (r *Runner) withdrawCrash(incarnation int64) {
+	r.log.On(event.WorkerNotCrashed).Int64("born", incarnation).Send()
+	r.crashes = slices.DeleteFunc(r.crashes, func(c pastCrash) bool { return c.crash.Incarnation == incarnation })
+	for _, g := range r.gateways {
+		if g.enrolled {
+			// The error is ignored: the gateway forgets the crash with time.
+			_ = g.link.Send(message.TypeCrash, message.CrashWithdrawn, message.Crash{Incarnation: incarnation})
+		}
+	}
+}
+
 // recordRunEnd counts the end of a run, and logs it unless the run succeeded.
 func (r *Runner) recordRunEnd(a room.ReportEnd) {
 	r.metrics.runEnded(a)
