Simulate workers that refuse connections, leave, are replaced, crash and step their clock

The workers of proof/cut lived for ever and never refused a connection, so the simulation could not show runs that a runner takes for ended while they go on. Five new kinds of faults let them do what real workers do, alone, together and beside the present faults. The present scenarios draw what they drew before.

--- a/proof/cut/fault_test.go
+++ b/proof/cut/fault_test.go
@@ -14,6 +14,13 @@
 	pauseRunner
 	killGateway
 	killRunner
+	// refuseWorker lets a worker refuse connections, leaveWorker lets it leave gracefully, replaceWorker starts another one
+	// beside it, crashWorker ends its process at once, and stepClock sets the time of day of a machine.
+	refuseWorker
+	leaveWorker
+	replaceWorker
+	crashWorker
+	stepClock
 	faultKinds
 )
 
@@ -72,6 +79,8 @@
 			m.busy = true
 			m.kill(w.away(m.name))
 		}
+	default:
+		m.disturbWorker(kind)
 	}
 }
 
--- a/proof/cut/oracle_test.go
+++ b/proof/cut/oracle_test.go
@@ -27,6 +27,9 @@
 	// given up for another gateway, and goneAtArrival the submissions whose caller had left when they were read.
 	starts, claims, awaited, givenUp, goneAtArrival int
 	completed                                       int
+	workerEvents
+	// late counts the starts that were carried out late, and excluded those of them whose runs are not checked.
+	late, excluded int
 }
 
 // traceLine is a line of a trace.
@@ -70,6 +73,11 @@
 	w.oracle.starts++
 	key := keyOf(run.id)
 	w.note(run.id.Job, "worker of %s starts %v for %s", run.worker, run.id, run.gateway)
+	if run.excluded {
+		w.oracle.excluded++
+		w.note(run.id.Job, "%v is excluded from the check", run.id)
+		return
+	}
 	for _, other := range w.live[key] {
 		w.violate(checkTwice, w.jobs[run.id.Job], "%v starts on the worker of %s for %s while %v runs on that of %s for %s, since %d ms",
 			run.id, run.worker, run.gateway, other.id, other.worker, other.gateway, other.startedAt-startTime)
