Give the model of the run table other workers

Heartbeats of another worker and 421 answers of one that has taken over the address were not part of the random sequences of TestRandomEventSequences, and a restarted worker always had the id of the one before it.

--- a/room/model_test.go
+++ b/room/model_test.go
@@ -28,6 +28,9 @@
 	return lavendercourse.Resources{CPU: tasks*need.CPU + 100, Memory: 65536}
 }
 
+// modelWorkers are the instance ids that the simulated worker may have. The last one is only of a worker that sends heartbeats.
+var modelWorkers = []string{workerName, "w2", "w3"}
+
 // capacityGrace is the time in ms for which a capacity that has shrunk still counts: the users' contactMs and a heartbeat.
 const capacityGrace = 3*clock.Second + heartbeatInterval
 
@@ -39,6 +42,7 @@
 
 // workerIncarnation is one incarnation of the simulated worker.
 type workerIncarnation struct {
+	id string
 	// incarnation identifies this incarnation.
 	incarnation int64
 	// clockZero is the time by the runner's clock, in ms, at which the worker's clock reads 0.
@@ -56,9 +60,11 @@
 
 // request is a start or stop in flight to the worker. One of start and stop is set.
 type request struct {
-	start *lavendercourse.Order
-	stop  *room.StopRun
-	sent  clock.Millis
+	// worker is the instance id that the request names.
+	worker string
+	start  *lavendercourse.Order
+	stop   *room.StopRun
+	sent   clock.Millis
 	// abandoned is set once the runner has stopped waiting for an answer. The request may still be carried out, and the
 	// answer may still arrive.
 	abandoned bool
@@ -73,6 +79,7 @@
 
 // renewalCall is a renewal in flight to the worker, or its answer in flight to the runner.
 type renewalCall struct {
+	worker  string
 	renewal lavendercourse.Renewal
 	sent    clock.Millis
 	answer  lavendercourse.WorkerRuns
@@ -126,7 +133,7 @@
 		endedRuns: map[lavendercourse.RunID]int64{}, lastRun: map[int]int{}, linked: true, room: modelRoom,
 		stampAtEnd: map[lavendercourse.RunID]clock.Millis{}, lateStarts: map[lavendercourse.RunID]bool{},
 	}
-	m.restartWorker()
+	m.restartWorker(workerName)
 	m.heartbeat()
 	for range 2 {
 		m.renew()
@@ -137,13 +144,14 @@
 }
 
 func (m *model) heartbeat() {
-	m.perform(m.deliverHeartbeat(m.newHeartbeat()))
+	m.perform(m.deliverHeartbeat(m.newHeartbeat(m.worker.id)))
 }
 
-func (m *model) newHeartbeat() lavendercourse.WorkerReport {
+// newHeartbeat returns a heartbeat of the worker, or of another one that sends heartbeats beside it.
+func (m *model) newHeartbeat(id string) lavendercourse.WorkerReport {
 	m.seq++
 	return lavendercourse.WorkerReport{
-		ID: workerName, Incarnation: m.worker.incarnation, Service: "s", Domain: "d", Capacity: modelCapacity(m.room), Sequence: m.seq,
+		ID: id, Incarnation: m.worker.incarnation, Service: "s", Domain: "d", Capacity: modelCapacity(m.room), Sequence: m.seq,
 		Clock: m.worker.clockAt(m.now),
 	}
 }
@@ -183,14 +191,14 @@
 	m.perform(m.table.HandleRenewalReply(m.now, c.sent, c.renewal, c.answer, c.reply))
 }
 
-// restartWorker replaces the worker by a new incarnation without runs.
-func (m *model) restartWorker() {
+// restartWorker replaces the worker by a new incarnation without runs, which may have another instance id.
+func (m *model) restartWorker(id string) {
 	m.incarnations++
 	m.restartedAt = m.now
 	// The clock of each incarnation starts below all readings of the previous one, as it does if the previous one ran
 	// for some time.
 	m.worker = &workerIncarnation{
-		incarnation: 2e6 * m.incarnations, clockZero: m.now - clock.Millis(1e9-1e6*m.incarnations), running: map[lavendercourse.RunID]bool{}, blocked: map[lavendercourse.RunID]bool{},
+		id: id, incarnation: 2e6 * m.incarnations, clockZero: m.now - clock.Millis(1e9-1e6*m.incarnations), running: map[lavendercourse.RunID]bool{}, blocked: map[lavendercourse.RunID]bool{},
 	}
 }
 
@@ -219,9 +227,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case room.StartRun:
-			m.calls = append(m.calls, request{start: &a.Order, sent: m.now})
+			m.calls = append(m.calls, request{worker: a.Worker, start: &a.Order, sent: m.now})
 		case room.StopRun:
-			m.calls = append(m.calls, request{stop: &a, sent: m.now})
+			m.calls = append(m.calls, request{worker: a.Worker, stop: &a, sent: m.now})
 		case room.ReportEnd:
 			m.markEnded(a.Run)
 		}
@@ -256,6 +264,9 @@
 // execute carries out a request on the worker and returns its answer.
 func (m *model) execute(c request) (lavendercourse.WorkerStatus, lavendercourse.Reply) {
 	w := m.worker
+	if c.worker != "" && c.worker != w.id {
+		return lavendercourse.WorkerStatus{}, lavendercourse.ReplyIncarnation
+	}
 	token := int64(0)
 	if c.start != nil {
 		token = c.start.Token
@@ -372,10 +383,10 @@
 // renew sends a renewal to the worker. Several may be in flight.
 func (m *model) renew() {
 	worker, renewal, _ := m.table.NextRenewal(m.now)
-	if worker != workerName && worker != "" {
+	if worker != "" && !slices.Contains(modelWorkers, worker) {
 		m.t.Fatalf("renewal for %q", worker)
 	}
-	m.renewals = append(m.renewals, renewalCall{renewal: renewal, sent: m.now})
+	m.renewals = append(m.renewals, renewalCall{worker: worker, renewal: renewal, sent: m.now})
 }
 
 // executeRenewal carries out the renewal with the given index on the worker. Its answer is kept for deliverList.
@@ -383,6 +394,11 @@
 	c := m.renewals[i]
 	m.renewals = append(m.renewals[:i], m.renewals[i+1:]...)
 	w := m.worker
+	if c.worker != "" && c.worker != w.id {
+		c.reply = lavendercourse.ReplyIncarnation
+		m.lists = append(m.lists, c)
+		return
+	}
 	if c.renewal.Token < w.token {
 		c.answer, c.reply = lavendercourse.WorkerRuns{Status: m.workerStatus()}, lavendercourse.ReplyStaleToken
 		m.lists = append(m.lists, c)
@@ -425,7 +441,12 @@
 			m.tick()
 		},
 		"heartbeat":         func(*rapid.T) { m.heartbeat() },
-		"hold up heartbeat": func(*rapid.T) { m.heldUp = append(m.heldUp, m.newHeartbeat()) },
+		"hold up heartbeat": func(*rapid.T) { m.heldUp = append(m.heldUp, m.newHeartbeat(m.worker.id)) },
+		"heartbeat of another worker": func(t *rapid.T) {
+			r := m.newHeartbeat(rapid.SampledFrom(modelWorkers).Filter(func(id string) bool { return id != m.worker.id }).Draw(t, "worker"))
+			r.Incarnation += int64(rapid.IntRange(-1000, 1000).Draw(t, "born"))
+			m.perform(m.deliverHeartbeat(r))
+		},
 		"held up heartbeat": func(*rapid.T) {
 			if len(m.heldUp) == 0 {
 				return
@@ -478,6 +499,26 @@
 			status, result := m.execute(c)
 			m.replies = append(m.replies, reply{c, status, result})
 		},
+		// Another worker, which has taken over the address, answers a call that names the one before it.
+		"other answers call": func(t *rapid.T) {
+			if len(m.calls) == 0 {
+				return
+			}
+			i := rapid.IntRange(0, len(m.calls)-1).Draw(t, "call")
+			c := m.calls[i]
+			m.calls = append(m.calls[:i], m.calls[i+1:]...)
+			m.replies = append(m.replies, reply{c, lavendercourse.WorkerStatus{}, lavendercourse.ReplyIncarnation})
+		},
+		"other answers renewal": func(t *rapid.T) {
+			if len(m.renewals) == 0 {
+				return
+			}
+			i := rapid.IntRange(0, len(m.renewals)-1).Draw(t, "renewal")
+			c := m.renewals[i]
+			m.renewals = append(m.renewals[:i], m.renewals[i+1:]...)
+			c.reply = lavendercourse.ReplyIncarnation
+			m.lists = append(m.lists, c)
+		},
 		"give up": func(t *rapid.T) {
 			if len(m.calls) == 0 {
 				return
@@ -509,12 +550,12 @@
 				return
 			}
 		},
-		"new incarnation": func(*rapid.T) {
+		"new incarnation": func(t *rapid.T) {
 			// A worker takes longer to restart than an order is valid.
 			if m.now-m.restartedAt <= room.DefaultOrderValidity {
 				return
 			}
-			m.restartWorker()
+			m.restartWorker(rapid.SampledFrom(modelWorkers[:2]).Draw(t, "worker"))
 		},
 		"refuse": func(*rapid.T) { m.table.HandleRefusedConnection(m.now, m.now) },
 		"link": func(*rapid.T) {
