--- a/proof/cut/restart_test.go
+++ b/proof/cut/restart_test.go
@@ -28,6 +28,14 @@
 	maxHeartbeatDelay = 2 * clock.Second
 	// maxStepPause is the longest time in ms between a step of the time of day and the restart that it has an effect on.
 	maxStepPause = clock.Second
+	// maxStepAway is the longest time in ms for which a worker that crashes after such a step is away, so that a process may
+	// be born earlier, by the time of day, than the one before it.
+	maxStepAway = clock.Second
+	// maxRush is the longest time in ms after which held starts reach a process that has just started to accept connections.
+	maxRush = 100 * clock.Millis(1)
+	// doubtTime is the time in ms after the end of a process from which on the runs of unanswered starts may count as ended
+	// although no later process has listed its runs, by docs/platform.md.
+	doubtTime = 1900 * clock.Millis(1)
 )
 
 // causeUnknownRun is the cause that package room gives for a run that is not in its table.
@@ -44,10 +52,24 @@
 	workerBusy bool
 	// processes counts the processes of the worker, and ids its instance ids.
 	processes, ids int
+	// held holds the starts that are carried out as soon as a new process accepts connections.
+	held []heldStart
+	// endedAt holds the times in ms at which the runner reported the ends of runs, and listedAt those at which each process first
+	// listed its runs, by its number.
+	endedAt  map[lavendercourse.RunID]clock.Millis
+	listedAt map[int]clock.Millis
 	// clockStep is how far the time of day is ahead, in ms.
 	clockStep clock.Millis
 }
 
+// heldStart is a start on its way to a process since the given time in ms.
+type heldStart struct {
+	r      *runner
+	start  room.StartRun
+	sentTo *worker
+	since  clock.Millis
+}
+
 // disturbWorker lets a fault of the worker begin, unless one lasts.
 func (m *machine) disturbWorker(kind int) {
 	if m.workerBusy {
@@ -62,9 +84,9 @@
 	case replaceWorker:
 		m.replace()
 	case crashWorker:
-		m.crash()
+		m.crash(maxCrashAway)
 	case stepClock:
-		m.stepTime()
+		m.stepTime(m.w.between(-maxStep, maxStep), true)
 	}
 }
 
@@ -80,7 +102,14 @@
 }
 
 // listen makes a process accept connections at the address of the worker.
-func (m *machine) listen(b *worker) { m.worker, m.open, m.openTo = b, nil, nil }
+func (m *machine) listen(b *worker) {
+	m.worker, m.open, m.openTo = b, nil, nil
+	held := m.held
+	m.held = nil
+	for _, h := range held {
+		m.w.schedule(m.w.between(0, maxRush), h.arrive)
+	}
+}
 
 // newProcess starts a process, under the same instance id as the one before it or under another one. It does not accept
 // connections yet.
@@ -93,7 +122,7 @@
 	m.processes++
 	m.w.oracle.restarts++
 	b := newWorker(m, id, int64(epoch+m.w.now+m.clockStep))
-	b.name = fmt.Sprintf("%s (%s, process %d)", m.name, id, m.processes)
+	b.number, b.name = m.processes, fmt.Sprintf("%s (%s, process %d)", m.name, id, m.processes)
 	m.w.noteFault("a process of worker %s starts beside %s, number %d, born %d", id, m.name, m.processes, b.incarnation-int64(epoch))
 	return b
 }
@@ -109,6 +138,7 @@
 	}
 	w.noteFault("the process of %s ends", b.name)
 	b.kill()
+	b.endedAt = w.now
 	for _, id := range b.sorted() {
 		w.recordEnd(b.runs[id], lavendercourse.EndCrashed)
 		delete(b.runs, id)
@@ -175,14 +205,14 @@
 
 // crash ends the worker's process and starts another one after a random time. Shortly before, starts may be held, which are
 // carried out late.
-func (m *machine) crash() {
+func (m *machine) crash(maxAway clock.Millis) {
 	w, b := m.w, m.worker
 	var notice clock.Millis
 	if w.coin() {
 		b.losing = true
 		notice = w.between(0, maxLosing)
 	}
-	away, sameID := w.between(minAway, maxCrashAway), w.coin()
+	away, sameID := w.between(minAway, maxAway), w.coin()
 	w.faultEnds(notice + max(away, maxLate))
 	w.noteFault("%s crashes in %d ms and is away for %d ms", b.name, notice, away)
 	w.schedule(notice, func() {
@@ -196,23 +226,27 @@
 }
 
 // stepTime sets the time of day of the machine, and then lets the worker crash or the runner be killed, since only new processes
-// read it.
-func (m *machine) stepTime() {
+// read it. A step in the other direction may follow.
+func (m *machine) stepTime(step clock.Millis, again bool) {
 	w := m.w
-	m.clockStep = min(max(m.clockStep+w.between(-maxStep, maxStep), -maxStep), maxStep)
+	m.clockStep = min(max(m.clockStep+step, -maxStep), maxStep)
 	w.noteFault("time of day of %s is %d ms ahead", m.name, m.clockStep)
 	killsRunner, pause := w.coin(), w.between(0, maxStepPause)
 	w.faultEnds(pause)
 	w.schedule(pause, func() {
-		if !killsRunner {
-			m.crash()
+		switch {
+		case !killsRunner:
+			m.crash(maxStepAway)
+		case m.busy:
+			m.workerBusy = false
 			return
-		}
-		m.workerBusy = false
-		if !m.busy {
-			m.busy = true
+		default:
+			m.workerBusy, m.busy = false, true
 			m.kill(w.away(m.name))
 		}
+		if again && w.coin() {
+			m.stepBack(-step)
+		}
 	})
 }
 
@@ -229,6 +263,20 @@
 	return r.table.StopCause(id) == causeUnknownRun
 }
 
+// stepBack sets the time of day once the machine has no other fault any more.
+func (m *machine) stepBack(step clock.Millis) {
+	w := m.w
+	w.faultEnds(runnerTick)
+	w.schedule(runnerTick, func() {
+		if m.busy || m.workerBusy {
+			m.stepBack(step)
+			return
+		}
+		m.workerBusy = true
+		m.stepTime(step, false)
+	})
+}
+
 // calledProcess returns the process that gets a call of the runner and its host. If the connection is refused, the process is nil.
 func (r *runner) calledProcess() (*worker, *host) {
 	m := r.m
@@ -256,17 +304,42 @@
 	if !b.losing || !r.w.coin() {
 		return false
 	}
-	w, id := r.w, a.Order.Run
-	w.note(id.Job, "start of %v is held", id)
-	w.schedule(w.between(minLate, maxLate), func() {
-		p := r.m.worker
-		if p == nil || r.m.workerCut > 0 || p.isOther(a.Worker) {
-			return
-		}
-		w.oracle.late++
-		// Only a start whose run has ended and that reaches a later process before that has listed its runs is excluded.
-		excluded := p != b && !p.listed && r.hasEnded(id)
-		w.note(id.Job, "start of %v is carried out late: %v", id, p.startRun(a.Order, a.Entry, excluded))
-	})
+	w, h := r.w, heldStart{r, a, b, r.w.now}
+	w.note(a.Order.Run.Job, "start of %v is held", a.Order.Run)
+	if w.coin() {
+		r.m.held = append(r.m.held, h)
+		return true
+	}
+	w.schedule(w.between(minLate, maxLate), h.arrive)
 	return true
 }
+
+// arrive carries out the start at the process that accepts connections now.
+func (h heldStart) arrive() {
+	m, id := h.r.m, h.start.Order.Run
+	w, p := m.w, m.worker
+	if p == nil || m.workerCut > 0 || w.now-h.since > maxLate || p.isOther(h.start.Worker) {
+		return
+	}
+	w.oracle.late++
+	w.note(id.Job, "start of %v is carried out late: %v", id, p.startRun(h.start.Order, h.start.Entry, h.isExcluded(p)))
+}
+
+// isExcluded reports whether a start is one that docs/platform.md names as not excluded: it reaches a later process before that has
+// listed its runs, after its run has ended.
+func (h heldStart) isExcluded(p *worker) bool {
+	b, m, id := h.sentTo, h.r.m, h.start.Order.Run
+	if p == b || p.listed || !h.r.hasEnded(id) {
+		return false
+	}
+	endedAt, reported := m.endedAt[id]
+	if !reported || endedAt <= b.endedAt || endedAt-b.endedAt >= doubtTime {
+		return true
+	}
+	for number, listedAt := range m.listedAt {
+		if number > b.number && listedAt <= endedAt {
+			return true
+		}
+	}
+	return false
+}
--- a/proof/cut/runner_test.go
+++ b/proof/cut/runner_test.go
@@ -70,7 +70,7 @@
 
 func newMachine(w *world, i int) *machine {
 	m := &machine{w: w, index: i, name: fmt.Sprintf("r%d", i)}
-	m.kernel = newHost(w)
+	m.kernel, m.endedAt, m.listedAt = newHost(w), map[lavendercourse.RunID]clock.Millis{}, map[int]clock.Millis{}
 	m.worker = newWorker(m, "w"+m.name, int64(epoch))
 	return m
 }
@@ -254,6 +254,7 @@
 		case room.ReportCrash:
 			r.w.noteFault("%s takes its worker for ended, evidence: %s", r.name, a.Evidence)
 		case room.ReportEnd:
+			r.m.endedAt[a.Run] = r.w.now
 			r.w.note(a.Run.Job, "%s has the end of %v for %s: %v %v %s", r.name, a.Run, a.Entry, a.Kind, a.Reason, a.Cause)
 			ends[a.Entry] = append(ends[a.Entry], message.RunEnd{Run: a.Run, Kind: a.Kind, Reason: a.Reason, Duration: a.Duration})
 		}
--- a/proof/cut/worker_test.go
+++ b/proof/cut/worker_test.go
@@ -41,6 +41,9 @@
 	incarnation int64
 	name        string
 	bornAt      clock.Millis
+	endedAt     clock.Millis
+	// number counts the processes of the machine, from 0.
+	number int
 	// draining is set once heartbeats tell that the worker leaves, losing while starts may be carried out late, and listed once
 	// the process has listed its runs.
 	draining, losing, listed bool
@@ -212,7 +215,9 @@
 }
 
 func (b *worker) list() lavendercourse.WorkerRuns {
-	b.listed = true
+	if !b.listed {
+		b.listed, b.m.listedAt[b.number] = true, b.w.now
+	}
 	l := lavendercourse.WorkerRuns{Status: b.status(true), Ended: slices.Clone(b.ends)}
 	for _, id := range b.sorted() {
 		r := b.runs[id]
