--- a/proof/cut/oracle_test.go
+++ b/proof/cut/oracle_test.go
@@ -14,6 +14,7 @@
 const (
 	checkTwice  = "task runs twice"
 	checkServed = "job is not served"
+	checkUsed   = "worker is not used"
 )
 
 type violation struct{ check, text string }
@@ -98,7 +99,8 @@
 	w.live[key] = left
 }
 
-// checkEnd checks that the jobs were served that were submitted when no fault could hold them up any more.
+// checkEnd checks that the jobs were served that were submitted when no fault could hold them up any more, and that all workers
+// take runs again.
 func (w *world) checkEnd() {
 	quiet := w.quietFrom()
 	if w.faultless() {
@@ -123,6 +125,11 @@
 			w.violate(checkServed, &simJob{}, "%s has served no job after the faults", s.name)
 		}
 	}
+	for _, m := range w.machines {
+		if !m.runner.table.AcceptsRuns(w.now) {
+			w.violate(checkUsed, &simJob{}, "%s takes no runs after the faults", m.name)
+		}
+	}
 }
 
 // faultless reports whether the scenario has no faults.
