--- a/proof/cut/oracle_test.go
+++ b/proof/cut/oracle_test.go
@@ -14,6 +14,7 @@
 const (
 	checkTwice  = "task runs twice"
 	checkServed = "job is not served"
+	checkUsed   = "worker is not used"
 )
 
 type violation struct{ check, text string }
@@ -27,6 +28,9 @@
 	// given up for another gateway, and goneAtArrival the submissions whose caller had left when they were read.
 	starts, claims, awaited, givenUp, goneAtArrival int
 	completed                                       int
+	workerEvents
+	// late counts the starts that were carried out late, and excluded those of them whose runs are not checked.
+	late, excluded int
 }
 
 // traceLine is a line of a trace.
@@ -70,6 +74,11 @@
 	w.oracle.starts++
 	key := keyOf(run.id)
 	w.note(run.id.Job, "worker of %s starts %v for %s", run.worker, run.id, run.gateway)
+	if run.excluded {
+		w.oracle.excluded++
+		w.note(run.id.Job, "%v is excluded from the check", run.id)
+		return
+	}
 	for _, other := range w.live[key] {
 		w.violate(checkTwice, w.jobs[run.id.Job], "%v starts on the worker of %s for %s while %v runs on that of %s for %s, since %d ms",
 			run.id, run.worker, run.gateway, other.id, other.worker, other.gateway, other.startedAt-startTime)
@@ -90,7 +99,8 @@
 	w.live[key] = left
 }
 
-// checkEnd checks that the jobs were served that were submitted when no fault could hold them up any more.
+// checkEnd checks that the jobs were served that were submitted when no fault could hold them up any more, and that all workers
+// take runs again.
 func (w *world) checkEnd() {
 	quiet := w.quietFrom()
 	if w.faultless() {
@@ -115,6 +125,11 @@
 			w.violate(checkServed, &simJob{}, "%s has served no job after the faults", s.name)
 		}
 	}
+	for _, m := range w.machines {
+		if !m.runner.table.AcceptsRuns(w.now) {
+			w.violate(checkUsed, &simJob{}, "%s takes no runs after the faults", m.name)
+		}
+	}
 }
 
 // faultless reports whether the scenario has no faults.
