Wait for the lease that a killed runner has granted unless its own worker answers

What callers would see: a runner that is killed during a release may find the new worker at its address while the old one drains. It took the empty list of the new worker for the end of the runs that its predecessor had started on the old one, enrolled after 1 to 527 ms, and its gateways ordered these runs elsewhere while they went on for up to a second.

Now the first lists count only if they are of the worker that the predecessor called, as its record in the store says, or from 1,020 ms after the start of the runner on. The record is written only once that is settled. A worker that is leaving does not take the place of its successor again, a kept heartbeat is used as soon as the worker before it has no runs, answers to calls that named another worker are dropped, and refusals without a time of birth count as answers, so that a refused token is raised.

Event 606 is logged for answers of another worker as well, and 617 only if the worker still has runs.

TestUnansweredStartAcrossIncarnations checked nothing since the fix and lets the new process answer now. Harnesses of running runners inherit the report of a predecessor, as real ones do.

--- a/proof/cut/call_test.go
+++ b/proof/cut/call_test.go
@@ -83,7 +83,7 @@
 		r.table.RecordAnswerTime(took)
 	case refused:
 		before := r.table.Unreachable()
-		r.table.HandleRefusedConnection(r.w.now, c.sentAt)
+		r.perform(r.table.HandleRefusedConnection(r.w.now, c.sentAt))
 		if !before && r.table.Unreachable() {
 			r.w.noteFault("%s finds that its worker refuses connections", r.name)
 			r.reportToAll()
--- a/room/config.go
+++ b/room/config.go
@@ -33,6 +33,8 @@
 const (
 	// maxPlatformLease, in ms, is the longest lease that the platform grants; longer ones are shortened to it.
 	maxPlatformLease = clock.Second
+	// predecessorLease, in ms, is the longest time for which a worker may keep runs that a predecessor of the runner has started.
+	predecessorLease = maxPlatformLease * (100 + maxClockDriftPercent) / 100
 	// renewalWait, in ms, is how long the worker may delay the answer to a renewal until a run ends. Three renewals fit
 	// into the lease of the worker.
 	renewalWait = 200 * clock.Millis(1)
--- a/room/lease_test.go
+++ b/room/lease_test.go
@@ -86,9 +86,11 @@
 		reports:  func(entry string, _ clock.Millis) bool { return entry == healthyEntry },
 		shortest: room.DefaultWorkerLease, shortestStart: room.DefaultWorkerLease,
 	}
-	s.table.HandleHeartbeat(s.now, lavendercourse.WorkerReport{
+	report := lavendercourse.WorkerReport{
 		ID: workerName, Incarnation: firstIncarnation, Service: "s", Domain: "d", Capacity: capacity, Sequence: 1,
-	})
+	}
+	s.table.InheritReport(s.now, lavendercourse.WorkerReport{ID: workerName, Incarnation: firstIncarnation})
+	s.table.HandleHeartbeat(s.now, report)
 	for range 2 {
 		_, renewal, _ := s.table.NextRenewal(s.now)
 		s.table.HandleRenewalReply(s.now, s.now, renewal, lavendercourse.WorkerRuns{Status: s.status()}, lavendercourse.ReplyAccepted)
--- a/room/model_test.go
+++ b/room/model_test.go
@@ -49,6 +49,8 @@
 	clockZero clock.Millis
 	// token is the highest fencing token that the worker has seen.
 	token int64
+	// listedAt is the time in ms at which it has first listed its runs, or 0.
+	listedAt clock.Millis
 	// leaseUntil is the time by the worker's clock, in ms, at which the lease of its runs expires.
 	leaseUntil clock.Millis
 	running    map[lavendercourse.RunID]bool
@@ -134,6 +136,7 @@
 		stampAtEnd: map[lavendercourse.RunID]clock.Millis{}, lateStarts: map[lavendercourse.RunID]bool{},
 	}
 	m.restartWorker(workerName)
+	m.table.InheritReport(m.now, m.newHeartbeat(workerName))
 	m.heartbeat()
 	for range 2 {
 		m.renew()
@@ -185,10 +188,12 @@
 func (m *model) deliverList(i int) {
 	c := m.lists[i]
 	m.lists = append(m.lists[:i], m.lists[i+1:]...)
-	if c.reply == lavendercourse.ReplyAccepted {
-		m.markIncarnationKnown(c.answer.Status.Incarnation == m.worker.incarnation)
-	}
-	m.perform(m.table.HandleRenewalReply(m.now, c.sent, c.renewal, c.answer, c.reply))
+	before := m.table.Token()
+	actions := m.table.HandleRenewalReply(m.now, c.sent, c.renewal, c.answer, c.reply)
+	// The table drops lists that were asked for with a token of an earlier incarnation.
+	used := c.renewal.Token == before || m.table.Token() != before
+	m.markIncarnationKnown(c.reply == lavendercourse.ReplyAccepted && used && c.answer.Status.Incarnation == m.worker.incarnation)
+	m.perform(actions)
 }
 
 // restartWorker replaces the worker by a new incarnation without runs, which may have another instance id.
@@ -292,10 +297,12 @@
 		return m.statusWithoutIncarnation(), lavendercourse.ReplyStaleRun
 	case c.start.LeaseExpiry <= w.clockAt(m.now):
 		return m.statusWithoutIncarnation(), lavendercourse.ReplyLate
-	// This is the start that TestRandomEventSequences excludes: its run was reported as ended in an earlier incarnation,
-	// or the start is older than orders are valid.
+	// These are the starts that TestRandomEventSequences excludes: the run was reported as ended in an earlier incarnation, or
+	// the start is older than orders are valid and reaches an incarnation that has listed nothing.
 	case m.endedRuns[id] > 0 && (m.endedRuns[id] < m.incarnations || m.now-c.sent > room.DefaultOrderValidity):
 		return m.statusWithoutIncarnation(), lavendercourse.ReplyStaleRun
+	case c.sent < m.restartedAt && m.now-c.sent > room.DefaultOrderValidity && w.listedAt == 0:
+		return m.statusWithoutIncarnation(), lavendercourse.ReplyStaleRun
 	}
 	w.leaseUntil = max(w.leaseUntil, min(c.start.LeaseExpiry, w.clockAt(m.now)+clock.Second))
 	if m.endedRuns[id] == m.incarnations {
@@ -405,6 +412,7 @@
 		return
 	}
 	w.token = c.renewal.Token
+	w.listedAt = cmp.Or(w.listedAt, m.now)
 	w.leaseUntil = max(w.leaseUntil, min(c.renewal.LeaseExpiry, w.clockAt(m.now)+clock.Second))
 	kept := w.ends[:0]
 	for _, e := range w.ends {
--- a/room/room.go
+++ b/room/room.go
@@ -39,8 +39,8 @@
 const (
 	evidenceRefused  = "connection refused"
 	evidenceAnswer   = "answer of another incarnation"
-	evidenceOther    = "answer of another worker"
 	evidenceReplaced = "heartbeat of another worker, and no runs left"
+	evidenceLease    = "lease of a worker that could not be called"
 )
 
 // Table is the table of the runs on one worker. Times are in ms by the runner's clock unless noted. It is not safe for
@@ -73,9 +73,8 @@
 	endedIncarnation int64
 	endedAt          clock.Millis
 	// unreachableAt is the time of the first sign since the worker's last answer that it cannot be called: its address refused
-	// a connection, or another worker answered there. unreachableBy is the evidence.
+	// a connection, or another worker answered there.
 	unreachableAt clock.Millis
-	unreachableBy string
 	// crashReported is set once entries were told that the present incarnation has crashed.
 	crashReported bool
 	// replacement is the last report of another worker or incarnation, which arrived at replacementAt and is used once the present
@@ -83,8 +82,12 @@
 	replacement    lavendercourse.WorkerReport
 	replacementAt  clock.Millis
 	hasReplacement bool
-	// settledAt is the time from which on the worker's lists show all runs that a predecessor of this runner may have left.
-	settledAt clock.Millis
+	// startedAt is the time of the first renewal, and inheritedID the id of the worker that a predecessor of this runner called, or
+	// empty if it is not known.
+	startedAt   clock.Millis
+	inheritedID string
+	// settled is set once a list has shown all runs that a predecessor of this runner left.
+	settled bool
 	// token is the fencing token in use, or 0.
 	token int64
 	// lastEnd is the number of the last end that the worker listed and that was processed.
@@ -219,15 +222,18 @@
 // description again, since it has changed. A heartbeat of another worker or incarnation does not end the runs of the present
 // one, which may go on beside it; it is kept until that has ended.
 func (t *Table) HandleHeartbeat(now clock.Millis, report lavendercourse.WorkerReport) ([]Action, bool) {
-	if t.describesWorker(report) && t.isStale(report) {
+	sameWorker := t.describesWorker(report)
+	if sameWorker && t.isStale(report) {
 		return nil, false
 	}
 	if !t.canAdopt(now, report) {
-		t.replacement, t.replacementAt, t.hasReplacement = report, now, true
+		if sameWorker || !report.Draining {
+			t.replacement, t.replacementAt, t.hasReplacement = report, now, true
+		}
 		return nil, false
 	}
 	var actions []Action
-	if t.incarnation != 0 && !t.describesWorker(report) {
+	if t.incarnation != 0 && report.Incarnation != t.incarnation {
 		actions = t.endIncarnation(now, evidenceReplaced)
 	}
 	return actions, t.adopt(now, report)
@@ -239,22 +245,40 @@
 }
 
 // canAdopt reports whether a report may take the place of the last one now: it is of the incarnation that answers, or none has
-// answered yet, or the worker that it replaces is leaving or silent and has no runs.
+// answered yet, or the worker that it replaces is leaving or silent and has no runs. A worker that is leaving does not take the
+// place of its successor again.
 func (t *Table) canAdopt(now clock.Millis, report lavendercourse.WorkerReport) bool {
 	switch {
-	case t.incarnation == 0:
+	case report.Incarnation == t.incarnation:
 		return true
+	case t.incarnation == 0:
+		return t.describesWorker(report) || !report.Draining
 	case t.describesWorker(report):
-		return report.Incarnation == t.incarnation
+		return false
 	}
 	return t.reconciled && len(t.runs) == 0 && len(t.foreign) == 0 && (t.draining || !t.AnsweredWithin(now, silentAfter))
 }
 
+// useReplacement adopts the report that was kept, if it may take the place of the last one now and is not too old.
+func (t *Table) useReplacement(now clock.Millis) []Action {
+	if !t.hasReplacement || !t.canAdopt(now, t.replacement) {
+		return nil
+	}
+	t.hasReplacement = false
+	arrived := t.replacementAt
+	if now-arrived > t.heartbeatInterval+reportAgeMargin {
+		return nil
+	}
+	actions, _ := t.HandleHeartbeat(now, t.replacement)
+	t.reportedAt = arrived
+	return append(actions, DescribeWorker{})
+}
+
 // adopt makes a report the last one, and returns whether entries have to be sent the worker's description again.
 func (t *Table) adopt(now clock.Millis, report lavendercourse.WorkerReport) bool {
-	if t.inheritedAt != 0 && report.ID != t.worker.ID {
-		// The new worker does not list the runs that a predecessor of this runner may have left on the old one.
-		t.settledAt = now + maxPlatformLease*(100+maxClockDriftPercent)/100
+	if !t.describesWorker(report) && report.Incarnation != t.incarnation {
+		// Answers to calls that name the other worker say nothing of this one.
+		t.token, t.prevMaxToken, t.reconciled = 0, t.maxToken, false
 	}
 	sameKind := t.hasReport && report.Incarnation == t.worker.Incarnation && report.ID == t.worker.ID &&
 		report.Service == t.worker.Service && slices.Equal(report.Labels, t.worker.Labels)
@@ -289,6 +313,7 @@
 // runs before the next heartbeat. The report is used until a heartbeat arrives, for at most inheritedReportTimeout, and
 // only if the worker answers in the same incarnation.
 func (t *Table) InheritReport(now clock.Millis, report lavendercourse.WorkerReport) {
+	t.inheritedID = report.ID
 	if !t.hasReport {
 		t.worker, t.hasReport, t.draining, t.inheritedAt = report, true, report.Draining, now
 	}
@@ -328,6 +353,9 @@
 	if t.hasReport && worker == t.worker.ID {
 		t.draining = true
 	}
+	if t.hasReplacement && worker == t.replacement.ID {
+		t.hasReplacement = false
+	}
 }
 
 // endIncarnation ends all runs and resets the state that belongs to the worker's incarnation. Unanswered starts may be
@@ -361,12 +389,7 @@
 	t.listedAt, t.hasClockOffset, t.unreachableAt, t.crashReported = 0, false, 0, false
 	t.draining, t.reconciled, t.prevMaxToken = false, false, t.maxToken
 	t.pace = pace{}
-	if t.hasReplacement && now-t.replacementAt <= inheritedReportTimeout {
-		t.adopt(now, t.replacement)
-		actions = append(actions, DescribeWorker{})
-	}
-	t.hasReplacement = false
-	return actions
+	return append(actions, t.useReplacement(now)...)
 }
 
 // crashReport returns the report of a crash of the worker at the given time in ms, with the runs that it may have had.
@@ -575,7 +598,7 @@
 		run.startsAnswered++
 	}
 	if reply == lavendercourse.ReplyIncarnation {
-		t.markUnreachable(now, evidenceOther)
+		t.markUnreachable(now)
 		return t.retryStart(now, run)
 	}
 	if (status.Clock > 0 && status.Clock < run.workerClockAtStart) || !t.recordAnswer(now, status) {
@@ -723,7 +746,7 @@
 		return nil
 	}
 	if reply == lavendercourse.ReplyIncarnation {
-		t.markUnreachable(now, evidenceOther)
+		t.markUnreachable(now)
 		return nil
 	}
 	if !t.recordAnswer(now, status) {
@@ -742,6 +765,9 @@
 // in ms to wait for the answer. The renewal does not extend the lease if the worker has not answered within
 // leaseExtensionCutoff or cannot be reached, or if the runs of a silent entry should have ended. Renewals may overlap.
 func (t *Table) NextRenewal(now clock.Millis) (string, lavendercourse.Renewal, clock.Millis) {
+	if t.startedAt == 0 {
+		t.startedAt = now
+	}
 	if t.token == 0 {
 		t.raiseToken(now)
 	}
@@ -783,10 +809,10 @@
 		return nil
 	}
 	if reply == lavendercourse.ReplyIncarnation {
-		t.markUnreachable(now, evidenceOther)
+		t.markUnreachable(now)
 		return nil
 	}
-	if workerRuns.Status.Incarnation == 0 {
+	if reply == lavendercourse.ReplyAccepted && workerRuns.Status.Incarnation == 0 {
 		// A list that does not name its incarnation shows nothing of the runs of this one.
 		return nil
 	}
@@ -804,7 +830,8 @@
 		// The heartbeat was delayed: it is of an earlier incarnation.
 		t.hasReplacement = false
 	}
-	t.reconciled, t.tokenStep = now >= t.settledAt, initialTokenStep
+	t.settled = t.settled || t.showsAllRuns(now, workerRuns.Status)
+	t.reconciled, t.tokenStep = t.settled, initialTokenStep
 	t.clockOffset, t.hasClockOffset = workerRuns.Status.Clock-sent, true
 	old := t.isOldList(renewal, workerRuns)
 	actions := append(t.withdrawCrash(), t.reportReturn(now, workerRuns)...)
@@ -816,6 +843,21 @@
 	return t.reconcile(actions, now, sent, workerRuns.Running)
 }
 
+// showsAllRuns reports whether a list with the given status shows all runs that a predecessor of this runner may have left. It does
+// so if it is of the worker that the predecessor called, whose earlier incarnations have ended, and otherwise once the lease that the
+// predecessor may have granted to another worker has expired.
+func (t *Table) showsAllRuns(now clock.Millis, status lavendercourse.WorkerStatus) bool {
+	return t.predecessorLeaseExpired(now) || (t.inheritedID != "" && t.worker.ID == t.inheritedID && t.worker.Incarnation == status.Incarnation)
+}
+
+// predecessorLeaseExpired reports whether the lease that a predecessor of this runner may have granted has expired.
+func (t *Table) predecessorLeaseExpired(now clock.Millis) bool {
+	return t.startedAt > 0 && now-t.startedAt >= predecessorLease
+}
+
+// Reconciled reports whether the worker has listed all runs that it has, also those that a predecessor of this runner left.
+func (t *Table) Reconciled() bool { return t.reconciled }
+
 // withdrawCrash withdraws the report of a crash of the present incarnation, which answers.
 func (t *Table) withdrawCrash() []Action {
 	if !t.crashReported {
@@ -825,9 +867,9 @@
 	return []Action{WithdrawCrash{Incarnation: t.incarnation}}
 }
 
-// reportReturn reports that the worker lists its runs in an incarnation that was taken for ended.
+// reportReturn reports that the worker still has runs in an incarnation that was taken for ended.
 func (t *Table) reportReturn(now clock.Millis, workerRuns lavendercourse.WorkerRuns) []Action {
-	if t.endedIncarnation == 0 || workerRuns.Status.Incarnation != t.endedIncarnation {
+	if t.endedIncarnation == 0 || workerRuns.Status.Incarnation != t.endedIncarnation || len(workerRuns.Running) == 0 {
 		return nil
 	}
 	t.endedIncarnation = 0
@@ -969,7 +1011,7 @@
 		// The worker has answered another call meanwhile, or this is known.
 		return nil
 	}
-	t.markUnreachable(now, evidenceRefused)
+	t.markUnreachable(now)
 	report := t.crashReport(now, now, evidenceRefused)
 	if !t.Unreachable() || !report.Observed || t.crashReported {
 		return nil
@@ -979,9 +1021,9 @@
 }
 
 // markUnreachable records that the worker cannot be called.
-func (t *Table) markUnreachable(now clock.Millis, evidence string) {
+func (t *Table) markUnreachable(now clock.Millis) {
 	if t.lastAnswer > 0 && !t.Unreachable() {
-		t.unreachableAt, t.unreachableBy = now, evidence
+		t.unreachableAt = now
 	}
 }
 
@@ -999,9 +1041,9 @@
 // calls it periodically.
 func (t *Table) Tick(now clock.Millis) []Action {
 	if t.Unreachable() && t.leaseExpired(now) {
-		return t.endIncarnation(now, t.unreachableBy)
+		return t.endIncarnation(now, evidenceLease)
 	}
-	var actions []Action
+	actions := t.useReplacement(now)
 	workerLeaseExpired := len(t.runs) > 0 && t.leaseExpired(now)
 	for _, run := range t.sortedRuns() {
 		switch {
@@ -1026,7 +1068,7 @@
 // leaseExpired reports whether all runs on the worker must have ended because its lease has expired, even if its clock is slow
 // by maxClockDriftPercent.
 func (t *Table) leaseExpired(now clock.Millis) bool {
-	if now-t.lastAnswer < silentAfter {
+	if now-t.lastAnswer < silentAfter || !t.predecessorLeaseExpired(now) {
 		return false
 	}
 	elapsed := now - t.workerClockAt
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -47,6 +47,7 @@
 // newReadyHarness returns a harness whose worker accepts runs.
 func newReadyHarness(t *testing.T) *harness {
 	h := newHarness(t)
+	h.inherit(workerName)
 	h.heartbeat(firstIncarnation, false)
 	h.renew(lavendercourse.ReplyAccepted)
 	h.renew(lavendercourse.ReplyAccepted)
@@ -54,6 +55,13 @@
 	return h
 }
 
+// inherit simulates the record of a predecessor of the runner that has called the given worker.
+func (h *harness) inherit(worker string) {
+	h.table.InheritReport(h.now, lavendercourse.WorkerReport{
+		ID: worker, Incarnation: firstIncarnation, Service: "s", Domain: "d", Capacity: capacity,
+	})
+}
+
 func (h *harness) workerStatus() lavendercourse.WorkerStatus {
 	return lavendercourse.WorkerStatus{Clock: h.now + 100*clock.Second, Incarnation: h.incarnation}
 }
@@ -133,6 +141,7 @@
 // has listed its runs under this runner's token.
 func TestNothingStartsBeforeWorkerListsItsRuns(t *testing.T) {
 	h := newHarness(t)
+	h.inherit(workerName)
 	h.heartbeat(firstIncarnation, false)
 	h.renew(lavendercourse.ReplyStaleToken)
 	assert.DeepEqual(t, describe(h.order(runID(0))), []string{"refused 0"})
@@ -320,6 +329,7 @@
 // continue: the entry would order them elsewhere.
 func TestRunsOfKilledRunnerCountAsUnfinished(t *testing.T) {
 	h := newHarness(t)
+	h.inherit(workerName)
 	h.heartbeat(firstIncarnation, false)
 	assert.Assert(t, h.table.MayHaveRuns(entryName))
 	h.renew(lavendercourse.ReplyStaleToken)
@@ -367,7 +377,7 @@
 func TestUnansweredStartAcrossIncarnations(t *testing.T) {
 	h := newReadyHarness(t)
 	h.order(runID(0))
-	assert.DeepEqual(t, describe(h.heartbeat(firstIncarnation+1, false)), []string{})
+	assert.DeepEqual(t, describe(h.restart()), []string{})
 	assert.Assert(t, h.table.MayHaveRuns(entryName))
 }
 
@@ -413,6 +423,7 @@
 func TestInDoubtTimeoutFollowsConfig(t *testing.T) {
 	h := newHarness(t)
 	h.table = room.New(room.Config{Epoch: epoch, WorkerLease: 1200, OrderValidity: 1500})
+	h.inherit(workerName)
 	h.heartbeat(firstIncarnation, false)
 	h.renew(lavendercourse.ReplyAccepted)
 	h.renew(lavendercourse.ReplyAccepted)
@@ -470,6 +481,7 @@
 // Guards against a runner whose token is refused for a long time after the time of day was set back.
 func TestTokenRisesUntilItIsAccepted(t *testing.T) {
 	h := newHarness(t)
+	h.inherit(workerName)
 	workerToken := int64(epoch) + int64(h.now) + 5000
 	for range 3 {
 		_, renewal, _ := h.table.NextRenewal(h.now)
@@ -573,6 +585,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
+			h.inherit(workerName)
 			_, changed := h.table.HandleHeartbeat(h.now, old)
 			assert.Assert(t, changed)
 			h.renew(lavendercourse.ReplyAccepted)
--- a/runner/link_test.go
+++ b/runner/link_test.go
@@ -86,6 +86,7 @@
 		status := lavendercourse.WorkerStatus{Clock: now, Incarnation: 1}
 		r.table.HandleRenewalReply(now, now, renewal, lavendercourse.WorkerRuns{Status: status, Ended: ended}, lavendercourse.ReplyAccepted)
 	}
+	r.table.InheritReport(now, lavendercourse.WorkerReport{ID: "w", Incarnation: 1, Service: "s"})
 	r.table.HandleHeartbeat(now, lavendercourse.WorkerReport{ID: "w", Incarnation: 1, Service: "s", Sequence: 1})
 	list()
 	assert.Assert(t, r.table.AcceptsRuns(now))
--- a/runner/record.go
+++ b/runner/record.go
@@ -86,6 +86,10 @@
 // updateRecord sets the record that the store should hold to the given report. The record of a draining worker is
 // removed, so that no successor takes runs for it. The caller holds the mutex.
 func (r *Runner) updateRecord(w lavendercourse.WorkerReport) {
+	if !w.Draining && !r.table.Reconciled() {
+		// A successor that finds the worker in the record takes its lists for complete.
+		return
+	}
 	desired := []byte{}
 	if !w.Draining {
 		described := r.enrollment(w)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -39,6 +39,8 @@
 	runsEnded bool
 	// workerSilent is set while the worker has not answered for silentAfter.
 	workerSilent bool
+	// workerUnreachable is set while the worker's address refuses connections, or another worker answers there.
+	workerUnreachable bool
 	// workerLosesAnswers is set while the worker leaves a share of the calls unanswered.
 	workerLosesAnswers bool
 	// answersLost receives a value while the worker leaves a share of the calls unanswered.
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -233,12 +233,13 @@
 		case err == nil && took >= 0:
 			r.table.RecordAnswerTime(took)
 		case eris.Is(err, lavendercourse.ErrWorkerRefused):
-			r.handleRefusedConnection(now, sentAt, err)
+			r.perform(now, r.table.HandleRefusedConnection(now, sentAt))
 		case err != nil && r.ctx.Err() == nil:
 			r.table.RecordLostAnswer()
 			r.metrics.callUnanswered()
 		}
 		handle(now, err)
+		r.checkReachable(now, err)
 	}()
 }
 
@@ -263,12 +264,12 @@
 	r.log.On(e).Int64("timeout", int64(r.table.CallTimeout())).Int("doubt", r.table.RunsInDoubt()).Int("running", r.table.UnfinishedRuns()).Send()
 }
 
-// handleRefusedConnection handles a call that was sent at the given time in ms and was refused at the worker's address. The
-// caller holds the mutex.
-func (r *Runner) handleRefusedConnection(now, sentAt clock.Millis, err error) {
-	before := r.table.Unreachable()
-	r.perform(now, r.table.HandleRefusedConnection(now, sentAt))
-	if before || !r.table.Unreachable() {
+// checkReachable logs when the worker cannot be called any more, and reports to the gateways that it takes no runs. err is the result
+// of the last call. The caller holds the mutex.
+func (r *Runner) checkReachable(now clock.Millis, err error) {
+	before := r.workerUnreachable
+	r.workerUnreachable = r.table.Unreachable()
+	if before || !r.workerUnreachable {
 		return
 	}
 	r.log.On(event.WorkerRefuses).Int("running", r.table.UnfinishedRuns()).Err(err).Send()
