Let workers of the soak leave, be replaced and refuse connections while their runs go on

The ledger now keeps several runs of one task apart: the end of one no longer hides another that goes on.

--- a/standin/command/soak.go
+++ b/standin/command/soak.go
@@ -49,6 +49,7 @@
 	f.IntVar(&cfg.Runners, "runners", 6, "runners")
 	f.Float64Var(&cfg.Crashes, "crashes", 0, "share of jobs with tasks that crash their workers, beside changes of capacities")
 	f.BoolVar(&cfg.Cuts, "cuts", false, "cuts of whole gateways and of workers that hold data, and more callers that give up early")
+	f.BoolVar(&cfg.Leaves, "leaves", false, "workers that leave, are replaced or refuse connections while their runs go on, and restarts in turn")
 	f.IntVar(&cfg.Callers, "callers", 20, "number of callers, each with one job at a time")
 	return cmd
 }
--- a/standin/fleet/ledger.go
+++ b/standin/fleet/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,8 +21,8 @@
 // Ledger records the runs of all workers and the guarantees that were violated.
 type Ledger struct {
 	mu sync.Mutex
-	// running holds the present run of a task, by task.
-	running    map[string]runSite
+	// running holds the present runs of a task, by task: more than one if a guarantee is violated.
+	running    map[string][]runSite
 	violations []string
 	// done counts the successful runs, by task.
 	done map[string]int
@@ -38,7 +39,7 @@
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{
-		running: map[string]runSite{}, done: map[string]int{}, started: map[string]bool{}, crashes: map[string][]time.Time{},
+		running: map[string][]runSite{}, done: map[string]int{}, started: map[string]bool{}, crashes: map[string][]time.Time{},
 		failures: map[string]int{}, crashedRuns: map[string]int{},
 	}
 }
@@ -54,11 +55,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if other, ok := l.running[task]; ok {
+	for _, other := range l.running[task] {
 		l.violations = append(l.violations, fmt.Sprintf("task %s runs on %s and %s at the same time: run %d since %s, run %d since %s", task,
 			other.worker, worker, other.run, other.began.Format(violationTime), run, now.Format(violationTime)))
 	}
-	l.running[task] = runSite{worker: worker, run: run, began: now}
+	l.running[task] = append(l.running[task], runSite{worker: worker, run: run, began: now})
 	job, _, _ := strings.Cut(task, ".")
 	l.started[job] = true
 }
@@ -127,10 +128,14 @@
 	return l.done[task]
 }
 
-func (l *Ledger) end(task, result string) {
+func (l *Ledger) end(task, worker string, run int, result string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.running, task)
+	rest := slices.DeleteFunc(l.running[task], func(s runSite) bool { return s.worker == worker && s.run == run })
+	l.running[task] = rest
+	if len(rest) == 0 {
+		delete(l.running, task)
+	}
 	switch result {
 	case "done":
 		l.done[task]++
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -37,7 +37,10 @@
 
 // WorkerConfig holds the settings of a worker.
 type WorkerConfig struct {
-	ID      string
+	ID string
+	// Born is the reported time of its start, in ms since the Unix epoch, and may be earlier than that of the process before. If
+	// it is 0, the time of day is used.
+	Born    int64
 	Service string
 	Domain  string
 	// ReportAddress is the address to which the worker sends its heartbeats.
@@ -109,6 +112,9 @@
 	lastEnded int
 	// lastListed is the sequence number of the newest end that has been listed to the runner.
 	lastListed int
+	// heartbeats counts the heartbeats. leaving is set once the worker reports draining for good.
+	heartbeats int
+	leaving    bool
 	starts     int
 	faults     WorkerFaults
 	// cpu is the capacity in thousandths of a core, pastCPU the earlier capacities with the times at which they ended.
@@ -126,14 +132,13 @@
 		cfg: cfg, incarnation: now.UnixMilli(), began: now, running: map[string]*workerRun{}, highestRun: map[string]int{},
 		done: make(chan struct{}), ledger: ledger, cpu: defaultCPU,
 	}
+	if cfg.Born != 0 {
+		w.incarnation = cfg.Born
+	}
 	w.repeat(pollPeriod, w.endRuns)
 	// Heartbeats have a goroutine of their own: they block while the runner is paused, which must not delay the end of
 	// leases.
-	sequence := 0
-	w.repeat(heartbeatPeriod, func() {
-		sequence++
-		w.sendHeartbeat(sequence)
-	})
+	w.repeat(heartbeatPeriod, func() { w.PrepareHeartbeat()() })
 	return w
 }
 
@@ -218,24 +223,31 @@
 	return w.starts
 }
 
-func (w *Worker) sendHeartbeat(sequence int) {
+// PrepareHeartbeat returns a function that sends the heartbeat of this moment. If it is called later, also after Close, the
+// heartbeat arrives late.
+func (w *Worker) PrepareHeartbeat() (send func()) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.faults.NoHeartbeats || w.faults.Silent {
-		w.mu.Unlock()
-		return
+		return func() {}
 	}
 	state := "ready"
-	if w.faults.Draining {
+	if w.faults.Draining || w.leaving {
 		state = "draining"
 	}
+	w.heartbeats++
 	body, _ := json.Marshal(map[string]any{
-		"service": w.cfg.Service, "zone": w.cfg.Domain, "state": state, "born": w.incarnation, "seq": sequence,
+		"service": w.cfg.Service, "zone": w.cfg.Domain, "state": state, "born": w.incarnation, "seq": w.heartbeats,
 		"clockMs":  time.Since(w.began).Milliseconds(),
 		"capacity": map[string]int{"cpu": w.cpu, "memMb": defaultMemory}, "labels": []string{"a", "r1"},
 	})
-	w.mu.Unlock()
+	return func() { w.report("heartbeat", body) }
+}
+
+// report sends a report to the runner. The error is ignored: reports are lost while the runner is away.
+func (w *Worker) report(kind string, body []byte) {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Post("http://"+w.cfg.ReportAddress+"/instances/"+w.cfg.ID+"/heartbeat", "application/json", bytes.NewReader(body))
+	resp, err := client.Post("http://"+w.cfg.ReportAddress+"/instances/"+w.cfg.ID+"/"+kind, "application/json", bytes.NewReader(body))
 	if err == nil {
 		_ = resp.Body.Close()
 	}
@@ -270,7 +282,7 @@
 	w.lastEnded++
 	delete(w.running, r.task)
 	w.ended = append(w.ended, []any{w.lastEnded, r.task, r.run, result, ""})
-	w.ledger.end(r.task, result)
+	w.ledger.end(r.task, w.cfg.ID, r.run, result)
 }
 
 // Handler returns the HTTP handler of the worker's published calls.
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -128,10 +128,15 @@
 
 // Refuse stops listening, so that connections are refused as if the target had ended, and resets all open connections.
 func (p *Proxy) Refuse() {
+	p.stopListening()
+	p.Reset()
+}
+
+// stopListening refuses new connections and keeps the open ones.
+func (p *Proxy) stopListening() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	_ = p.listener.Close()
-	p.mu.Unlock()
-	p.Reset()
 }
 
 // Close stops listening and resets all open connections.
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -107,88 +107,6 @@
 	}
 }
 
-// workerSite is a stand-in worker that keeps its address across restarts.
-type workerSite struct {
-	cfg     fleet.WorkerConfig
-	address string
-	// proxy forwards the calls of the runner. It is nil in soaks without cuts.
-	proxy *Proxy
-
-	mu     sync.Mutex
-	worker *fleet.Worker
-	server *http.Server
-}
-
-func (w *workerSite) start(l *fleet.Ledger) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	listener, err := net.Listen("tcp", w.address)
-	if err != nil {
-		return err
-	}
-	w.address = listener.Addr().String()
-	w.worker = fleet.NewWorker(w.cfg, l)
-	w.server = &http.Server{Handler: w.worker.Handler()}
-	server := w.server
-	go func() { _ = server.Serve(resettingListener{listener}) }()
-	if w.proxy != nil {
-		return w.proxy.listen()
-	}
-	return nil
-}
-
-// callAddress returns the address at which the runner calls the worker.
-func (w *workerSite) callAddress() string {
-	if w.proxy != nil {
-		return w.proxy.Address()
-	}
-	return w.address
-}
-
-// endProcess ends the runs but leaves the address open, where nothing is answered any more, so that the end is not seen.
-func (w *workerSite) endProcess() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.worker.Close()
-}
-
-func (w *workerSite) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	// The runs end before the address refuses connections, as when a process exits. In the other order a run could be
-	// ordered elsewhere in between, which the soak with seed 48 reported as two concurrent runs.
-	w.worker.Close()
-	_ = w.server.Close()
-	if w.proxy != nil {
-		w.proxy.Refuse()
-	}
-}
-
-func (w *workerSite) resize(cpu int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.worker.SetCPU(cpu)
-}
-
-func (w *workerSite) set(f fleet.WorkerFaults) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.worker.SetFaults(f)
-}
-
-// resettingListener accepts connections that are reset when they are closed, as those of a process that crashes.
-type resettingListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l resettingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// The error is ignored: the connection is closed already.
-		_ = tcp.SetLinger(0)
-	}
-	return conn, err
-}
-
 // site holds the processes, stand-ins and proxies of a soak.
 type site struct {
 	cfg           Config
@@ -202,6 +120,10 @@
 	linkProxies   []*Proxy
 	servers       []*http.Server
 
+	// ids counts the ids of workers that were drawn, and until is the time after which no fault begins.
+	ids   int
+	until time.Time
+
 	mu      sync.Mutex
 	version int
 	// exceptions holds the times of the faults beside which a task may crash more workers than maxCrashes.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -44,7 +44,9 @@
 	Crashes float64
 	// Cuts adds cuts that hold data, of whole gateways and of workers from their runners, and long pauses of gateways.
 	Cuts bool
-	Out  io.Writer
+	// Leaves adds workers that leave, are replaced or refuse connections while their runs go on, and restarts in turn.
+	Leaves bool
+	Out    io.Writer
 }
 
 // proxyDelay returns the delay of the fault Delay.
@@ -109,6 +111,7 @@
 func (s *site) injectFaults(ctx context.Context) int {
 	rng := rand.New(rand.NewPCG(s.cfg.Seed, 1))
 	began := time.Now()
+	s.until = began.Add(s.cfg.Span)
 	var wg sync.WaitGroup
 	n := 0
 	for time.Since(began) < s.cfg.Span && ctx.Err() == nil {
@@ -160,6 +163,9 @@
 	if s.cfg.Cuts && rng.IntN(2) == 0 {
 		return s.drawCut(rng)
 	}
+	if s.cfg.Leaves && rng.IntN(2) == 0 {
+		return s.drawLeave(rng)
+	}
 	isRunner := slices.Contains(s.runners, p)
 	switch kind {
 	case 0:
@@ -267,9 +273,14 @@
 func (s *site) restartWorker(w *workerSite, span time.Duration) {
 	w.stop()
 	time.Sleep(span / 2)
-	// The port may still be in use for a moment, or an overlapping fault may have restarted the worker.
+	retry(func() bool { return w.start(s.ledger) == nil })
+}
+
+// retry repeats a change of a worker for a second until it succeeds: the port may still be in use for a moment, or an
+// overlapping fault may have restarted the worker.
+func retry(change func() bool) {
 	for range 20 {
-		if w.start(s.ledger) == nil {
+		if change() {
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
