--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -46,16 +46,13 @@
 // Guards against runs of a live worker that are taken for ended, and ordered elsewhere, because the worker refuses connections,
 // another one reports or answers in its place, or a report of another process arrives.
 func TestWorkersThatLeave(t *testing.T) {
-	program := buildProgram(t)
-	for _, seed := range []uint64{1, 2} {
-		r, err := soak.Run(t.Context(), soak.Config{
-			Program: program, Dir: logDir(t), Seed: seed, Span: 10 * time.Second, Gateways: 4, Runners: 11, Callers: 50, Leaves: true,
-			Out: io.Discard,
-		})
-		assert.NilError(t, err, "seed %d", seed)
-		assert.Equal(t, len(r.Violations), 0, "seed %d: %q", seed, r.Violations)
-		assert.Assert(t, r.Faults > 0 && r.Completed > 0, "%+v", r)
-	}
+	r, err := soak.Run(t.Context(), soak.Config{
+		Program: buildProgram(t), Dir: logDir(t), Seed: 5, Span: 9 * time.Second, Gateways: 4, Runners: 11, Callers: 50, Leaves: true,
+		Out: io.Discard,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Violations), 0, "%q", r.Violations)
+	assert.Assert(t, r.Faults > 0 && r.Completed > 0, "%+v", r)
 }
 
 // logDir returns a folder for the logs of a soak, which is kept if the test fails.
