Take runs at once after a loss of power, when the worker has another id

A worker is one life of its machine, so the successor of the recorded worker shows that this one has ended, unless something was heard of it since the runner started: a heartbeat or an answer. Then it may drain beside its successor, and the runner waits as before. Without a record it waits, too.

--- a/room/end_test.go
+++ b/room/end_test.go
@@ -179,13 +179,22 @@
 	}
 }
 
-// Guards against a runner that waits for the lease of its predecessor beside the worker that the predecessor called.
+// Guards against a runner that waits for the lease of its predecessor beside the worker that the predecessor called, or after a loss
+// of power, after which the worker is another one.
 func TestListOfKnownWorkerShowsRunsOfPredecessor(t *testing.T) {
-	h := newHarness(t)
-	h.inherit(workerName)
-	began := h.now
-	h.heartbeat(firstIncarnation, false)
-	assert.Assert(t, h.untilNothingIsLeft(began) < 50)
+	for _, worker := range []string{workerName, "w0"} {
+		h := newHarness(t)
+		began := h.now
+		// The worker answers before the record of the predecessor was read.
+		h.renew(lavendercourse.ReplyAccepted)
+		h.inherit(worker)
+		if worker != workerName {
+			h.renew(lavendercourse.ReplyIncarnation)
+		}
+		h.heartbeat(firstIncarnation, false)
+		assert.Assert(t, h.untilNothingIsLeft(began) < 50)
+		assert.Assert(t, h.table.AcceptsRuns(h.now))
+	}
 }
 
 // Guards against a runner that never gets a fencing token that the worker accepts, and against a worker that looks silent because
--- a/room/room.go
+++ b/room/room.go
@@ -83,9 +83,10 @@
 	replacementAt  clock.Millis
 	hasReplacement bool
 	// startedAt is the time of the first renewal, and inheritedID the id of the worker that a predecessor of this runner called, or
-	// empty if it is not known.
-	startedAt   clock.Millis
-	inheritedID string
+	// empty if it is not known. inheritedSeen is set once that worker has sent a heartbeat or an answer to this runner.
+	startedAt     clock.Millis
+	inheritedID   string
+	inheritedSeen bool
 	// settled is set once a list has shown all runs that a predecessor of this runner left.
 	settled bool
 	// token is the fencing token in use, or 0.
@@ -222,6 +223,7 @@
 // description again, since it has changed. A heartbeat of another worker or incarnation does not end the runs of the present
 // one, which may go on beside it; it is kept until that has ended.
 func (t *Table) HandleHeartbeat(now clock.Millis, report lavendercourse.WorkerReport) ([]Action, bool) {
+	t.inheritedSeen = t.inheritedSeen || report.ID == t.inheritedID
 	sameWorker := t.describesWorker(report)
 	if sameWorker && t.isStale(report) {
 		return nil, false
@@ -280,6 +282,9 @@
 		// Answers to calls that name the other worker say nothing of this one.
 		t.token, t.prevMaxToken, t.reconciled = 0, t.maxToken, false
 	}
+	if !t.describesWorker(report) {
+		t.unreachableAt = 0
+	}
 	sameKind := t.hasReport && report.Incarnation == t.worker.Incarnation && report.ID == t.worker.ID &&
 		report.Service == t.worker.Service && slices.Equal(report.Labels, t.worker.Labels)
 	if !sameKind {
@@ -568,6 +573,7 @@
 		t.workerClock, t.workerClockAt = status.Clock, now
 	}
 	t.lastAnswer, t.expired = now, nil
+	t.inheritedSeen = t.inheritedSeen || (t.hasReport && t.worker.ID == t.inheritedID)
 	return true
 }
 
@@ -844,10 +850,15 @@
 }
 
 // showsAllRuns reports whether a list with the given status shows all runs that a predecessor of this runner may have left. It does
-// so if it is of the worker that the predecessor called, whose earlier incarnations have ended, and otherwise once the lease that the
-// predecessor may have granted to another worker has expired.
+// so if it is of the worker that the predecessor called, whose earlier incarnations have ended, or if that one has given way to
+// another, as after a loss of power, and was not seen since. Otherwise it may drain beside its successor until the lease has expired
+// that the predecessor may have granted.
 func (t *Table) showsAllRuns(now clock.Millis, status lavendercourse.WorkerStatus) bool {
-	return t.predecessorLeaseExpired(now) || (t.inheritedID != "" && t.worker.ID == t.inheritedID && t.worker.Incarnation == status.Incarnation)
+	if t.predecessorLeaseExpired(now) {
+		return true
+	}
+	known := t.inheritedID != "" && t.worker.Incarnation == status.Incarnation
+	return known && (t.worker.ID == t.inheritedID || !t.inheritedSeen)
 }
 
 // predecessorLeaseExpired reports whether the lease that a predecessor of this runner may have granted has expired.
