Count a pulse for the incarnation of its own link

Callers would see an entry that answers for its jobs declared gone: "failed, the entry that owned the job is gone" from one entry and "complete" from the owner.

An entry kept the incarnation of each other entry by name. When a process was paused or cut off and another of the same name took its place, the old one, once it went on, sent the incarnation that it took after the loss of its lease on its old link. From then on the pulses of the successor, which name no incarnation, were recorded for the old process but acknowledged to the successor: it kept its quorum lease while nobody had heard of its incarnation.

The test fails before the change: after 11 s of acknowledged pulses the successor counts as gone. The incarnation is now kept by link, so that each acknowledgement stands for a contact with the very incarnation whose lease it extends.

--- /dev/null
+++ b/entry/evidence_test.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/link"
+	"github.com/lavendercourse/lavendercourse/member"
+	"github.com/lavendercourse/lavendercourse/message"
+)
+
+// Guards against an entry that is declared gone while it answers: a paused process of the same name went on and pulsed on
+// its old link, and the pulses of its successor then counted as signs of life of the old process.
+func TestPulseCountsForIncarnationOfItsLink(t *testing.T) {
+	now := clock.NewManual(clock.Minute)
+	c := newCore(Config{Name: "a", Clock: now})
+	c.quorum = member.NewQuorum(0, member.Config{Name: "a"})
+	x := newPeerExchange(t.Context(), c)
+	r := &linkHandler{core: c, exchange: x}
+	server := httptest.NewServer(http.HandlerFunc(r.serveLink))
+	defer server.Close()
+	connect := func(inc string) (frameCollector, *link.Link) {
+		peer := frameCollector{frames: make(chan message.Frame, 8)}
+		l, err := link.NewDialer(nil).Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), link.Config{Handler: peer})
+		assert.NilError(t, err)
+		t.Cleanup(l.Close)
+		assert.NilError(t, l.Send(message.TypeHello, 0, message.Hello{Kind: message.KindEntry, Name: "b", Incarnation: inc}))
+		assert.Equal(t, (<-peer.frames).Type, message.TypeWelcome)
+		return peer, l
+	}
+	pulse := func(peer frameCollector, l *link.Link, inc string) {
+		assert.NilError(t, l.Send(message.TypePulse, 0, message.Pulse{Stamp: 1, Incarnation: inc}))
+		assert.Equal(t, (<-peer.frames).Type, message.TypeAck)
+	}
+	paused, pausedLink := connect("paused")
+	successor, successorLink := connect("successor")
+	pulse(successor, successorLink, "")
+	pulse(paused, pausedLink, "resumed")
+	for range 11 {
+		now.Advance(clock.Second)
+		pulse(successor, successorLink, "")
+	}
+	contacts := map[string]member.Contact{}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range []string{"a", "c"} {
+		contacts[name] = c.quorum.LastContact(now.Now(), lavendercourse.Incarnation("successor"))
+	}
+	assert.Assert(t, !c.quorum.Gone(now.Now(), now.Now(), []string{"a", "b", "c"}, contacts), "the successor is declared gone though its pulses are acknowledged")
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -44,9 +44,10 @@
 	forwardHandler forwardHandler
 	// forwards counts the forwarded requests that are being answered.
 	forwards sync.WaitGroup
-	// peerIncarnations holds the last known incarnation of each entry, by name, and sentIncarnations the incarnation of
-	// this entry that was last sent on each link.
-	peerIncarnations map[string]lavendercourse.Incarnation
+	// peerIncarnations holds the incarnation of the other entry that was last received on each open link. It is kept by
+	// link because two processes of one name may be linked, when one was replaced while it was paused or cut off.
+	peerIncarnations map[*link.Link]lavendercourse.Incarnation
+	// sentIncarnations holds the incarnation of this entry that was last sent on each link.
 	sentIncarnations map[*link.Link]lavendercourse.Incarnation
 
 	pendingMu         sync.Mutex
@@ -57,7 +58,7 @@
 func newPeerExchange(ctx context.Context, c *core) *peerExchange {
 	return &peerExchange{
 		core: c, ctx: ctx, pending: map[uint64]pendingRequest{},
-		peerIncarnations: map[string]lavendercourse.Incarnation{}, sentIncarnations: map[*link.Link]lavendercourse.Incarnation{},
+		peerIncarnations: map[*link.Link]lavendercourse.Incarnation{}, sentIncarnations: map[*link.Link]lavendercourse.Incarnation{},
 	}
 }
 
@@ -140,9 +141,9 @@
 	now := x.clock.Now()
 	if p.Incarnation != "" {
 		x.members.SetOwner(name, lavendercourse.Incarnation(p.Incarnation))
-		x.peerIncarnations[name] = lavendercourse.Incarnation(p.Incarnation)
+		x.peerIncarnations[l] = lavendercourse.Incarnation(p.Incarnation)
 	}
-	x.quorum.RecordContact(now, x.peerIncarnations[name])
+	x.quorum.RecordContact(now, x.peerIncarnations[l])
 	x.quorum.SetPeerVersion(name, p.Version)
 	demand := make(map[string]int, len(p.Demand))
 	for _, d := range p.Demand {
--- a/entry/link.go
+++ b/entry/link.go
@@ -58,6 +58,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if remote.kind == message.KindEntry {
+		delete(r.exchange.peerIncarnations, l)
 		if r.peers[remote.name] == l {
 			delete(r.peers, remote.name)
 		}
@@ -129,7 +130,7 @@
 	r.peers[a.Name] = l
 	r.members.AddFromPeer(a)
 	inc := lavendercourse.Incarnation(a.Incarnation)
-	r.exchange.peerIncarnations[a.Name] = inc
+	r.exchange.peerIncarnations[l] = inc
 	r.quorum.RecordContact(r.clock.Now(), inc)
 	r.applyListChange()
 }
