Let no successor answer for a process of the same name

Callers would see a job answered "failed, the entry that owned the job is gone" while its owner runs it and later answers "complete".

An entry to which an id of another incarnation was forwarded answered that the owner is gone. Requests are forwarded by the name of the owner, so they reach its successor as soon as that has linked, and a successor may run beside a predecessor that drains, is paused or is cut off. That a process of the name runs does not prove that the one before has ended.

The test fails before the change for submit, status and cancel. The successor is asked as well, as two entries have no majority without it.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -174,6 +174,10 @@
 	if err != nil {
 		return message.Reply{Error: err.Error()}
 	}
+	if !d.owns(id) {
+		// Another process of this name issued the id. That this one has taken its place does not prove that it has ended.
+		return message.Reply{Error: "this process did not issue the id"}
+	}
 	ctx, span := d.cfg.Tracer.StartFromRemote(ctx, f.Trace, trace.SpanKindServer, "forward "+f.Method)
 	defer span.End()
 	var resp proto.Message
@@ -225,7 +229,7 @@
 		}
 		return nil, nil
 	}
-	v := d.ownerSilentVerdict(ctx, id)
+	v := d.ownerSilentVerdict(ctx, id, err == nil)
 	if v.Outcome == lavendercourse.OutcomeUnknown && eris.Is(err, errNotSent) {
 		// The request did not reach the owner. A caller that has sent this id only once may submit under a new id.
 		v.MayHaveRun = false
@@ -233,9 +237,10 @@
 	return verdictOf(v), nil
 }
 
-// ownerSilentVerdict returns the verdict on a job whose owner did not answer.
-func (d *dispatchService) ownerSilentVerdict(ctx context.Context, id lavendercourse.JobID) lavendercourse.Verdict {
-	gone, known := d.exchange.ownerStatus(ctx, id.Incarnation())
+// ownerSilentVerdict returns the verdict on a job whose owner did not answer. Replaced tells whether another process of
+// the owner's name answered instead.
+func (d *dispatchService) ownerSilentVerdict(ctx context.Context, id lavendercourse.JobID, replaced bool) lavendercourse.Verdict {
+	gone, known := d.exchange.ownerStatus(ctx, id.Incarnation(), replaced)
 	switch {
 	case gone && !known:
 		return lavendercourse.UnknownVerdict(lavendercourse.ReasonExpired, "no entry knows the owner of the id", 0)
--- a/entry/evidence_test.go
+++ b/entry/evidence_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
@@ -13,6 +14,7 @@
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/member"
 	"github.com/lavendercourse/lavendercourse/message"
+	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
 )
 
 // Guards against an entry that is declared gone while it answers: a paused process of the same name went on and pulsed on
@@ -54,3 +56,23 @@
 	}
 	assert.Assert(t, !c.quorum.Gone(now.Now(), now.Now(), []string{"a", "b", "c"}, contacts), "the successor is declared gone though its pulses are acknowledged")
 }
+
+// Guards against a job that is answered as failed, owner gone, while its owner finishes it: the successor of a draining
+// entry has the same name, gets the forwarded requests, and is not told whether the other process has ended.
+func TestSuccessorDoesNotAnswerForPredecessor(t *testing.T) {
+	c := newCore(Config{Name: "b", Clock: clock.NewManual(clock.Minute)})
+	d := newDispatchService(c, nil)
+	id := lavendercourse.NewJobID("predecessor", 1, "tag").String()
+	for method, req := range map[string]proto.Message{
+		methodSubmit: &dispatchv1.SubmitRequest{Id: id, Team: "t", Tasks: []*dispatchv1.TaskSpec{{Kind: "k"}}},
+		methodStatus: &dispatchv1.StatusRequest{Id: id},
+		methodCancel: &dispatchv1.CancelRequest{Id: id},
+	} {
+		t.Run(method, func(t *testing.T) {
+			b, err := proto.Marshal(req)
+			assert.NilError(t, err)
+			r := d.handleForwarded(t.Context(), message.Forward{Method: method, Request: b})
+			assert.Assert(t, r.Error != "", "the answer is %q", r.Response)
+		})
+	}
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -350,10 +350,10 @@
 	return w, nil
 }
 
-// ownerStatus asks the other entries, except the owner itself, whether an incarnation is gone. The owner has just failed to
-// answer and would only delay the result; without its answer it does not count as gone. Known is false if no entry has
-// ever heard of the incarnation.
-func (x *peerExchange) ownerStatus(ctx context.Context, inc lavendercourse.Incarnation) (gone, known bool) {
+// ownerStatus asks the other entries whether an incarnation is gone. The entry of the owner's name is asked only if
+// another process has replaced the owner there: otherwise it has just failed to answer and would only delay the result.
+// Known is false if no entry has ever heard of the incarnation.
+func (x *peerExchange) ownerStatus(ctx context.Context, inc lavendercourse.Incarnation, replaced bool) (gone, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 	defer cancel()
 	x.mu.Lock()
@@ -362,7 +362,9 @@
 	contacts := map[string]member.Contact{x.cfg.Name: x.quorum.LastContact(askedAt, inc)}
 	owner, known := x.members.Owner(inc)
 	links := maps.Clone(x.peers)
-	delete(links, owner)
+	if !replaced {
+		delete(links, owner)
+	}
 	x.mu.Unlock()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
