Leave the jobs of an unlisted entry undecided

Callers would see two answers to one job: "failed, the entry that owned the job is gone", and later, for the same id, its results.

An entry that is not on its own copy of the entries list answers for no job, which is right, but Submit then said that the owner is gone although its incarnation goes on. An entry is off the list after its leave, and after an outage of the log of more than 30 s until it has announced itself again: the first record after the outage removes all others.

The test fails before the change with REASON_OWNER between two complete answers. The answer is now "unknown, ask again", as Status and Cancel gave it already. A call has no id to ask with, and one answer, so it stays "failed, may have run".

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -377,19 +377,24 @@
 }
 
 // finalAnswer returns the verdict and the results of an ended job. It checks the quorum lease again immediately before:
-// once the lease has expired, another entry may have declared this one gone.
+// once the lease has expired, another entry may have declared this one gone. An entry that is off the entries list keeps
+// its incarnation and may be listed again, so its jobs are undecided until then. Calls have no id to ask again with.
 func (d *dispatchService) finalAnswer(j *job.Job) (lavendercourse.Verdict, [][]byte) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	d.refreshQuorumState(now)
-	if j.ID().Incarnation() != d.jobs.Incarnation() || !d.holdsLease(now) {
-		if j.Verdict().Outcome == lavendercourse.OutcomeRefused {
-			return j.Verdict(), nil
-		}
+	ended := j.ID().Incarnation() != d.jobs.Incarnation()
+	switch {
+	case !ended && d.holdsLease(now):
+		return j.Verdict(), j.Results()
+	case j.Verdict().Outcome == lavendercourse.OutcomeRefused:
+		return j.Verdict(), nil
+	case ended || j.Spec().Call:
 		return ownerGoneVerdict(), nil
+	default:
+		return noLeaseVerdict(), nil
 	}
-	return j.Verdict(), j.Results()
 }
 
 func (d *dispatchService) status(id lavendercourse.JobID) *dispatchv1.StatusResponse {
--- a/entry/evidence_test.go
+++ b/entry/evidence_test.go
@@ -11,6 +11,7 @@
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/job"
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/member"
 	"github.com/lavendercourse/lavendercourse/message"
@@ -76,3 +77,46 @@
 		})
 	}
 }
+
+// Guards against two answers to one job: an entry that was off the entries list for a moment, as after an outage of the
+// log, answered that the owner of a complete job is gone, and later gave the results.
+func TestUnlistedOwnerIsNotGone(t *testing.T) {
+	now := clock.NewManual(clock.Minute)
+	c := newCore(Config{Name: "a", Clock: now})
+	c.entryNames = []string{"a", "b", "c"}
+	c.quorum.Acknowledged("b", now.Now(), 0, true)
+	c.refreshQuorumState(now.Now())
+	ids, err := c.jobs.Reserve(now.Now(), 1)
+	assert.NilError(t, err)
+	d := newDispatchService(c, nil)
+	req := &dispatchv1.SubmitRequest{Id: ids[0].String(), Team: "t", Tasks: []*dispatchv1.TaskSpec{{Kind: "k"}}}
+	j := c.jobs.Add(now.Now(), ids[0], specOf(req))
+	assigned, ok := c.jobs.AssignTask(now.Now(), j, "agent")
+	assert.Assert(t, ok)
+	c.jobs.TaskDone(now.Now(), assigned.Key, "agent", assigned.Attempt, nil)
+	for _, step := range []struct {
+		names []string
+		want  dispatchv1.Reason
+	}{
+		{[]string{"a", "b", "c"}, dispatchv1.Reason_REASON_UNSPECIFIED},
+		{[]string{"b", "c"}, dispatchv1.Reason_REASON_AGAIN},
+		{[]string{"a", "b", "c"}, dispatchv1.Reason_REASON_UNSPECIFIED},
+	} {
+		c.entryNames = step.names
+		assert.Equal(t, d.submit(t.Context(), ids[0], req).GetVerdict().GetReason(), step.want)
+	}
+}
+
+// Guards against a call whose caller is asked to repeat it under its id: a call has none, and it has one answer.
+func TestCallOfUnlistedEntryHasFailed(t *testing.T) {
+	now := clock.NewManual(clock.Minute)
+	c := newCore(Config{Name: "a", Clock: now})
+	c.entryNames = []string{"b", "c"}
+	j := c.jobs.Add(now.Now(), c.jobs.NewInternalID(), job.Spec{Call: true, Tasks: make([]job.Task, 1)})
+	_, ok := c.jobs.AssignTask(now.Now(), j, "agent")
+	assert.Assert(t, ok)
+	c.jobs.Fail(now.Now(), j, lavendercourse.ReasonTask, "")
+	v, _ := newDispatchService(c, nil).finalAnswer(j)
+	assert.Equal(t, v.Outcome, lavendercourse.OutcomeFailed)
+	assert.Assert(t, v.MayHaveRun)
+}
