Take only an entry's own answer for a rejection

Callers would see "request is invalid; nothing was run" of a job or call that has run.

The client took the code invalid_argument as proof that an entry had rejected the request. The connect library uses the same code for a response that it cannot decode, which may follow any outcome.

The code now counts only if the entry sent it. Otherwise a submission is repeated under its id, and a call is reported as unanswered.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -163,7 +163,7 @@
 		resp, err := conn.client.Submit(ctx, connect.NewRequest(req))
 		sent = sent || !isDialError(err)
 		switch v := verdictOf(resp, err); {
-		case err != nil && connect.CodeOf(err) == connect.CodeInvalidArgument:
+		case isInvalid(err):
 			return nil, convertError(err)
 		case reservedHere && (isRefusedTemporarily(v) || (firstAttempt && isOwnerUnreached(v))):
 			conn.discardIDs()
@@ -248,9 +248,15 @@
 	return errors.As(err, &opErr) && opErr.Op == "dial"
 }
 
+// isInvalid reports whether an entry rejected a request as invalid. The client library uses the same code for an answer
+// that it cannot decode, which does not prove that nothing was run.
+func isInvalid(err error) bool {
+	return err != nil && connect.CodeOf(err) == connect.CodeInvalidArgument && connect.IsWireError(err)
+}
+
 // convertError converts an error of the protocol to ErrInvalid or ErrUnreachable.
 func convertError(err error) error {
-	if connect.CodeOf(err) == connect.CodeInvalidArgument {
+	if isInvalid(err) {
 		return eris.Wrap(ErrInvalid, messageOf(err))
 	}
 	return eris.Wrapf(ErrUnreachable, "%v", err)
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
@@ -119,3 +120,27 @@
 	assert.Equal(t, resp.GetVerdict().GetOutcome(), dispatchv1.Outcome_OUTCOME_COMPLETE)
 	assert.DeepEqual(t, f.submittedIDs, []string{"id1", "id2"})
 }
+
+// Guards against work that is reported as not run since its answer could not be decoded.
+func TestUnreadableAnswerIsNoRefusal(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/proto")
+		_, _ = w.Write([]byte{0xff})
+	}))
+	defer server.Close()
+	c := caller.New(caller.Config{Address: server.Listener.Addr().String(), RetryDelay: 1, HTTP: &http.Client{}})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	for name, send := range map[string]func() error{
+		"call": func() error {
+			_, err := c.Call(ctx, &dispatchv1.CallRequest{})
+			return err
+		},
+		"submit": func() error {
+			_, err := c.Submit(ctx, &dispatchv1.SubmitRequest{Id: "mine"})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) { assert.ErrorIs(t, send(), caller.ErrUnreachable) })
+	}
+}
