Take only the log's own answer for a rejected append

Operators would see "not published" of a change that takes effect.

As in the client of callers, the code invalid_argument of the connect library for a response that it cannot decode was taken for a rejection by the log service, which rules out that the record was appended.

The test fails before the change. An append now counts as rejected only if the log service sent the code, and otherwise is settled by reading the stream.

--- a/logservice/client.go
+++ b/logservice/client.go
@@ -82,8 +82,12 @@
 }
 
 // appendError converts an error of an append to ErrRejected or ErrLost. Only the status codes that the log service
-// itself sends before it appends prove that the record was not appended. A broken connection proves nothing.
+// itself sends before it appends prove that the record was not appended. A broken connection proves nothing, and neither
+// does an answer that cannot be decoded, for which the client library makes up such a code.
 func appendError(err error) error {
+	if !connect.IsWireError(err) {
+		return eris.Wrapf(ErrLost, "%v", err)
+	}
 	switch connect.CodeOf(err) {
 	case connect.CodeFailedPrecondition, connect.CodeResourceExhausted, connect.CodeInvalidArgument:
 		return eris.Wrapf(ErrRejected, "%v", err)
