Keep the slot of a task until its end is certain

Callers would see tasks that are slower than they should be, and backend servers more tasks at once than they have slots.

An agent gave the slot of a task away as soon as the request for it ended without an answer: a connection that broke, or that the agent closed after its stop had got no answer for 1 s. A live backend server may go on with the task. The stand-in worker ends a task when its connection closes, so that no process test could show this.

Its slot is held until the backend server has answered a stop of the task, for as long as the lease of a task at most: the schema has no list of running tasks from which an agent could learn more.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -28,6 +29,9 @@
 // ErrStart is returned when an agent cannot start.
 var ErrStart = eris.New("agent cannot start")
 
+// errStopAnswered is the cause of a cancelled request if the backend server has answered the stop of its task.
+var errStopAnswered = eris.New("backend server has stopped the task")
+
 const (
 	// heartbeatPeriod is the time between heartbeats on a link to the entry that is this agent's home.
 	heartbeatPeriod = clock.Second
@@ -95,7 +99,7 @@
 	// entries holds the addresses of all known entries by name.
 	entries map[string]string
 	// running holds the functions that cancel the requests to the backend server.
-	running map[lavendercourse.TaskKey]context.CancelFunc
+	running map[lavendercourse.TaskKey]context.CancelCauseFunc
 	// leaving is set once Stop was called.
 	leaving bool
 	// answerNumber is the frame number of the heartbeats that awaitHeartbeatAnswers sent last.
@@ -129,7 +133,7 @@
 	a := &Agent{
 		cfg: cfg, ctx: ctx, cancel: cancel, table: slot.New(cfg.Slots),
 		links: map[string]*entryLink{}, entries: map[string]string{},
-		running:     map[lavendercourse.TaskKey]context.CancelFunc{},
+		running:     map[lavendercourse.TaskKey]context.CancelCauseFunc{},
 		failedDials: map[string]bool{}, backend: newBackendStatus(),
 		metrics: newAgentMetrics(telemetry.NewMetrics(cfg.Counters)),
 	}
@@ -328,11 +332,11 @@
 
 // startTask runs a task or call on the backend server in its own goroutine and reports its end to the table.
 func (a *Agent) startTask(r slot.Run) {
-	ctx, cancel := context.WithCancel(a.ctx)
+	ctx, cancel := context.WithCancelCause(a.ctx)
 	a.running[r.Key] = cancel
 	w := lavendercourse.Work{Key: r.Key, Kind: r.Kind, Payload: r.Payload, Lease: a.leaseDuration()}
 	go func() {
-		defer cancel()
+		defer cancel(nil)
 		ctx, span := a.cfg.Tracer.StartFromRemote(ctx, r.Trace, trace.SpanKindServer, "agent run")
 		status, result, failure, answered := a.execute(ctx, r.Call, w)
 		telemetry.SetError(span, failure)
@@ -343,6 +347,9 @@
 		if !answered && ctx.Err() == nil {
 			a.handleNoAnswer()
 		}
+		if !answered && !r.Call && !errors.Is(context.Cause(ctx), errStopAnswered) {
+			a.holdSlot(r.Key)
+		}
 		a.perform(a.table.TaskEnded(a.cfg.Clock.Now(), r.Key, status, result, failure))
 	}()
 }
@@ -368,22 +375,46 @@
 	}
 }
 
-// stopTask stops a running task or call. It first asks the backend server to stop it, for at most heartbeatPeriod,
-// and then cancels the request.
+// holdSlot keeps the slot of a task whose request got no answer: a broken connection does not prove that the task has
+// ended. The slot is released once the backend server has answered a stop of the task. If it answers none within the
+// lease, the slot is released nevertheless, since the task got no renewal and no other proof of its end can come.
+func (a *Agent) holdSlot(key lavendercourse.TaskKey) {
+	a.table.HoldSlot()
+	go func() {
+		ctx, cancel := context.WithTimeout(a.ctx, a.leaseDuration().Duration())
+		defer cancel()
+		for a.requestStop(ctx, key) != nil && ctx.Err() == nil {
+			daemon.Sleep(ctx, pollPeriod)
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.perform(a.table.ReleaseSlot(a.cfg.Clock.Now()))
+	}()
+}
+
+// stopTask stops a running task or call. It first asks the backend server to stop it and then cancels the request.
 func (a *Agent) stopTask(key lavendercourse.TaskKey) {
 	cancel := a.running[key]
 	if cancel == nil {
 		return
 	}
 	go func() {
-		ctx, stop := context.WithTimeout(a.ctx, heartbeatPeriod.Duration())
-		defer stop()
-		// The error is ignored: if the server does not answer, cancel closes the connection, which also ends the task.
-		_ = a.cfg.Backend.Stop(ctx, key)
-		cancel()
+		if a.requestStop(a.ctx, key) != nil {
+			// The server does not answer. Closing the connection of the request is all that is left; see holdSlot.
+			cancel(nil)
+			return
+		}
+		cancel(errStopAnswered)
 	}()
 }
 
+// requestStop asks the backend server to stop a task, for at most heartbeatPeriod.
+func (a *Agent) requestStop(ctx context.Context, key lavendercourse.TaskKey) error {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatPeriod.Duration())
+	defer cancel()
+	return a.cfg.Backend.Stop(ctx, key)
+}
+
 // leaseDuration returns the lease of a task in ms.
 func (a *Agent) leaseDuration() clock.Millis {
 	if a.cfg.Slots.Lease > 0 {
--- a/slot/backend_test.go
+++ b/slot/backend_test.go
@@ -72,3 +72,15 @@
 	assert.Assert(t, table.Load("entry-1").Window > 0)
 	assert.Equal(t, countRuns(startTask(t, table, 3, false)), 1)
 }
+
+// Guards against a held slot that is granted to an entry, and against a released one that no pending task gets.
+func TestHeldSlotIsNotGranted(t *testing.T) {
+	table := slot.New(slot.Config{Incarnation: "agent", Slots: 1, Connections: 9})
+	assert.Equal(t, countRuns(startTask(t, table, 0, false)), 1)
+	assert.Equal(t, len(startTask(t, table, 1, false)), 0)
+	table.HoldSlot()
+	assert.Equal(t, countRuns(table.TaskEnded(2, firstKey, message.StatusFailed, nil, "no answer")), 0)
+	assert.Equal(t, table.Load("entry-1").Running, 1)
+	assert.Equal(t, countRuns(table.ReleaseSlot(3)), 1)
+	assert.Equal(t, table.Usage(), slot.Usage{Running: 1})
+}
--- a/slot/table.go
+++ b/slot/table.go
@@ -144,6 +144,8 @@
 	running             int
 	pending             int
 	calls               int
+	// held counts the slots of ended tasks that the backend server may still run.
+	held int
 	// seq is the number of the newest record.
 	seq         uint64
 	leaving     bool
@@ -226,6 +228,16 @@
 	return append(actions, t.offerFreeSlot(rec.entry)...)
 }
 
+// HoldSlot keeps one slot occupied until ReleaseSlot is called. It is called before TaskEnded if the backend server may
+// still run the task.
+func (t *Table) HoldSlot() { t.held++ }
+
+// ReleaseSlot ends one HoldSlot.
+func (t *Table) ReleaseSlot(now clock.Millis) []Action {
+	t.held--
+	return append(t.startPending(now), t.offerFreeSlot("")...)
+}
+
 // Stop handles a request to stop tasks. A task that was not received yet is recorded as refused, so that a start which
 // arrives later cannot run.
 func (t *Table) Stop(now clock.Millis, entry string, tasks []message.Task) ([]Action, error) {
@@ -365,7 +377,7 @@
 
 // Load returns the load that is sent to the named entry in heartbeats and done messages.
 func (t *Table) Load(entry string) message.Load {
-	return message.Load{Running: t.running, Pending: t.pending, Calls: t.calls, Window: t.window(entry)}
+	return message.Load{Running: t.running + t.held, Pending: t.pending, Calls: t.calls, Window: t.window(entry)}
 }
 
 // refusalCause returns why a start must be refused now, or "" if it can be accepted.
@@ -391,7 +403,7 @@
 
 // hasFreeSlot tells whether one more task can run. A task uses both a slot and a connection.
 func (t *Table) hasFreeSlot() bool {
-	return t.running < t.cfg.Slots && t.running+t.calls < t.cfg.Connections
+	return t.running+t.held < t.cfg.Slots && t.running+t.calls < t.cfg.Connections
 }
 
 // answerRepeated answers a start for a task that already has a record.
--- a/slot/window.go
+++ b/slot/window.go
@@ -42,7 +42,7 @@
 		return 0
 	}
 	share := t.share(entry)
-	left := t.cfg.Slots
+	left := t.cfg.Slots - t.held
 	for name, u := range t.entries {
 		if name == entry {
 			continue
