Let entries and agents count the time of a suspension

Callers would see a task start twice after the VM of an entry was suspended for longer than agents remember tasks, and operators a start in a drained failure domain after the VM of an agent was suspended.

Both daemons used a monotonic clock that stands still meanwhile. The job of the entry is then within its lifetime, the agent has forgotten the task and says "never received", which the entry takes for proof that it never ran. An agent finds the stamps of old starts fresh.

--- a/command/agent.go
+++ b/command/agent.go
@@ -45,12 +45,18 @@
 			return nil, err
 		}
 	}
-	return agent.New(agent.Config{
+	return agent.New(agentConfig(s, logger, tracer, metrics))
+}
+
+// agentConfig returns the configuration of an agent. Its clock counts the time during which the VM was suspended: starts
+// that arrived before would otherwise seem fresh afterwards.
+func agentConfig(s settings.Settings, logger zerolog.Logger, tracer *telemetry.Tracer, metrics net.Listener) agent.Config {
+	return agent.Config{
 		Name: s.Agent.Name, Region: s.Place.Region, Domain: s.Place.Domain, Rack: s.Place.Rack,
 		Memory: s.Agent.Memory, Cores: s.Agent.Cores, Seeds: s.Agent.Entries,
 		Backend: worker.New(worker.Config{Address: s.Agent.Worker, Connections: s.Slot.Connections, Tracer: tracer}),
-		Slots:   s.Slot, Clock: clock.NewSystem(), Logger: logger, Metrics: metrics, Tracer: tracer,
-	})
+		Slots:   s.Slot, Clock: clock.NewBoot(), Logger: logger, Metrics: metrics, Tracer: tracer,
+	}
 }
 
 // stopTimeout bounds a graceful stop. It covers the longest job, 300 s, and the time to send its response.
--- a/command/entry.go
+++ b/command/entry.go
@@ -38,28 +38,38 @@
 }
 
 func startEntry(s settings.Settings, logger zerolog.Logger, tracer *telemetry.Tracer) (*entry.Entry, error) {
-	policy, err := placement.NewPolicy(s.Entry.Policy)
+	cfg, err := entryConfig(s, logger, tracer)
 	if err != nil {
 		return nil, err
 	}
+	return entry.New(cfg)
+}
+
+// entryConfig opens the listeners of an entry and returns its configuration. Its clock counts the time during which the VM
+// was suspended: the quorum lease and the jobs would otherwise outlive what other processes remember of them.
+func entryConfig(s settings.Settings, logger zerolog.Logger, tracer *telemetry.Tracer) (entry.Config, error) {
+	policy, err := placement.NewPolicy(s.Entry.Policy)
+	if err != nil {
+		return entry.Config{}, err
+	}
 	callers, err := net.Listen("tcp", s.Entry.Callers)
 	if err != nil {
-		return nil, err
+		return entry.Config{}, err
 	}
 	links, err := net.Listen("tcp", s.Entry.Links)
 	if err != nil {
 		_ = callers.Close()
-		return nil, err
+		return entry.Config{}, err
 	}
 	advertise := s.Entry.Advertise
 	if advertise == "" {
 		advertise = links.Addr().String()
 	}
-	return entry.New(entry.Config{
+	return entry.Config{
 		Name: s.Entry.Name, Region: s.Place.Region, Domain: s.Place.Domain,
 		CallerListener: callers, LinkListener: links, Advertise: advertise, SeedAddresses: s.Entry.Seeds,
 		Log:       logservice.New(logservice.Config{Address: s.Platform.Address, Timeout: s.Platform.Timeout}),
 		Retention: s.Platform.Retention, Policy: policy, Jobs: s.Limits.Jobs, Queue: s.Limits.Queue, Quorum: s.Member,
-		Clock: clock.NewSystem(), Logger: logger, Tracer: tracer,
-	})
+		Clock: clock.NewBoot(), Logger: logger, Tracer: tracer,
+	}, nil
 }
