--- a/agent/slot_test.go
+++ b/agent/slot_test.go
@@ -99,3 +99,42 @@
 	defer backend.mu.Unlock()
 	assert.Equal(t, backend.maxRunning, 1)
 }
+
+// lingeringBackend runs each task for good, even when its request is cancelled.
+type lingeringBackend struct {
+	disconnectingBackend
+}
+
+func (b *lingeringBackend) Run(ctx context.Context, w lavendercourse.Work) (lavendercourse.Result, error) {
+	_, _ = b.disconnectingBackend.Run(ctx, w)
+	<-ctx.Done()
+	return lavendercourse.Result{}, worker.ErrUnanswered
+}
+
+// Guards against slots that the successor of a killed agent gives away while the backend server runs the tasks of the
+// killed one.
+func TestSuccessorKeepsSlotsOfKilledAgent(t *testing.T) {
+	backend := &lingeringBackend{disconnectingBackend{running: map[lavendercourse.TaskKey]bool{}}}
+	for task := range uint32(2) {
+		a, err := New(Config{
+			Name: "w", Seeds: []string{"127.0.0.1:1"}, Backend: backend, Clock: clock.NewSystem(), Logger: zerolog.Nop(),
+			Slots: slot.Config{Slots: 1},
+		})
+		assert.NilError(t, err)
+		for range 30 {
+			a.mu.Lock()
+			now := a.cfg.Clock.Now()
+			actions, err := a.table.Start(now, "e", message.Start{
+				Job: "own.0.tag", Task: task, Attempt: 1 + uint32(now), Stamp: now, Agent: string(a.cfg.Slots.Incarnation),
+			})
+			a.perform(actions)
+			a.mu.Unlock()
+			assert.NilError(t, err)
+			time.Sleep(10 * time.Millisecond)
+		}
+		a.Kill()
+	}
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	assert.Equal(t, backend.maxRunning, 1)
+}
--- a/entry/evidence_test.go
+++ b/entry/evidence_test.go
@@ -15,6 +15,7 @@
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/member"
 	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/placement"
 	dispatchv1 "github.com/lavendercourse/lavendercourse/schema/dispatch/v1"
 )
 
@@ -120,3 +121,36 @@
 	assert.Equal(t, v.Outcome, lavendercourse.OutcomeFailed)
 	assert.Assert(t, v.MayHaveRun)
 }
+
+// Guards against tasks of a live agent that are given up: it drains while its successor, of the same name, has linked.
+func TestDrainingAgentKeepsItsTasks(t *testing.T) {
+	now := clock.NewManual(clock.Minute)
+	c := newCore(Config{Name: "e", Clock: now})
+	r := &linkHandler{core: c, exchange: newPeerExchange(t.Context(), c)}
+	server := httptest.NewServer(http.HandlerFunc(r.serveLink))
+	defer server.Close()
+	join := func(inc string) {
+		peer := frameCollector{frames: make(chan message.Frame, 8)}
+		l, err := link.NewDialer(nil).Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), link.Config{Handler: peer})
+		assert.NilError(t, err)
+		t.Cleanup(l.Close)
+		assert.NilError(t, l.Send(message.TypeHello, 0, message.Hello{Kind: message.KindAgent, Name: "w", Incarnation: inc, Slots: 8}))
+		assert.NilError(t, l.Send(message.TypeHeartbeat, 1, message.Load{Stamp: 1}))
+		for _, want := range []message.Type{message.TypeWelcome, message.TypeRenew} {
+			assert.Equal(t, (<-peer.frames).Type, want)
+		}
+	}
+	join("draining")
+	c.mu.Lock()
+	j := c.jobs.Add(now.Now(), c.jobs.NewInternalID(), job.Spec{Tasks: make([]job.Task, 1)})
+	assigned, ok := c.jobs.AssignTask(now.Now(), j, "w")
+	assert.Assert(t, ok)
+	attempt := placement.Attempt{Key: assigned.Key, Attempt: assigned.Attempt}
+	c.inFlight[attempt] = inFlightStart{agent: "w"}
+	c.fleet.Sent(now.Now(), "w", attempt, false)
+	c.mu.Unlock()
+	join("successor")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Assert(t, !j.Ended(), "%s", j.Verdict().Message)
+}
--- a/member/quorum_test.go
+++ b/member/quorum_test.go
@@ -562,3 +562,19 @@
 	q.SetPeerVersion("c", 0)
 	assert.Assert(t, !q.MajorityHas(list, 5), "c has restarted")
 }
+
+// Guards against an entry that declares another gone all alone: the first record after an outage of the log removes all
+// others from the list, and an entry whose links are cut then is its own majority.
+func TestNoLoneVerdictAfterLogOutage(t *testing.T) {
+	const at = 100 * clock.Second
+	l := member.NewList()
+	l.Apply(lavendercourse.Page{Records: []lavendercourse.Record{
+		announcedRecord(1, at, "a", false), announcedRecord(2, at, "b", false), announcedRecord(3, at, "c", false),
+		announcedRecord(4, at+clock.Minute, "a", false),
+	}})
+	q := member.NewQuorum(0, member.Config{Name: "a"})
+	q.RecordContact(at, "incarnation of c")
+	now := at + 11*clock.Second
+	contacts := map[string]member.Contact{"a": q.LastContact(now, "incarnation of c")}
+	assert.Assert(t, !q.Gone(now, now, l.Names(), contacts), "c is declared gone by %v", l.Names())
+}
