--- a/standin/soak/worker.go
+++ b/standin/soak/worker.go
@@ -198,14 +198,13 @@
 func (w *workerSite) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	// The runs end before the address refuses connections, as when a process is killed. In the other order a run could be
-	// ordered elsewhere in between, which the soak with seed 48 reported as two concurrent runs; the mode with leaving workers
-	// has that order.
-	w.process.end()
-	w.ended = true
+	// Connections are refused before the runs end: a refusal must not be taken for their end.
+	w.process.refuse()
 	if w.proxy != nil {
 		w.proxy.Refuse()
 	}
+	w.process.end()
+	w.ended = true
 }
 
 // refuse closes the address of a process that goes on.
