Withdraw a crash also if the worker answers after its lease

A worker that refuses connections for longer than its lease lives on, as in the users' measurements with a proxy that stops listening. The report of its crash was forgotten with the end of the lease and never withdrawn, so its tasks stayed suspects. The incarnation is kept now until it answers. room TestCrashIsReportedAtOnceAndWithdrawn has the case.

--- a/room/crash_test.go
+++ b/room/crash_test.go
@@ -177,8 +177,9 @@
 	withdrawn := room.Action(room.WithdrawCrash{Incarnation: firstIncarnation})
 	assert.Assert(t, slices.Contains(comparableActions(h.renew(lavendercourse.ReplyAccepted, runID(0))), withdrawn))
 	assert.Assert(t, !slices.Contains(comparableActions(h.renew(lavendercourse.ReplyAccepted, runID(0))), withdrawn))
-	// A later crash of the same incarnation.
+	// A later crash of the same incarnation, which answers again after its lease.
 	assert.DeepEqual(t, observed(h.refuseUntilLeaseExpires()), []bool{true})
+	assert.Assert(t, slices.Contains(comparableActions(h.renew(lavendercourse.ReplyAccepted)), withdrawn))
 }
 
 // comparableActions returns the actions that can be compared, which reports of crashes cannot.
--- a/room/room.go
+++ b/room/room.go
@@ -75,8 +75,8 @@
 	// unreachableAt is the time of the first sign since the worker's last answer that it cannot be called: its address refused
 	// a connection, or another worker answered there.
 	unreachableAt clock.Millis
-	// crashReported is set once entries were told that the present incarnation has crashed.
-	crashReported bool
+	// crashedIncarnation is the last incarnation of which entries were told at a refused connection that it has crashed, or 0.
+	crashedIncarnation int64
 	// replacement is the last report of another worker or incarnation, which arrived at replacementAt and is used once the present
 	// one has ended. It is valid if hasReplacement is set.
 	replacement    lavendercourse.WorkerReport
@@ -374,7 +374,7 @@
 		at = t.unreachableAt
 	}
 	var actions []Action
-	if report := t.crashReport(now, at, evidence); !t.crashReported && (len(report.Crash.Runs) > 0 || report.Observed) {
+	if report := t.crashReport(now, at, evidence); t.crashedIncarnation != t.latestIncarnation() && (len(report.Crash.Runs) > 0 || report.Observed) {
 		actions = append(actions, report)
 	}
 	for _, run := range t.sortedRuns() {
@@ -391,7 +391,7 @@
 	t.expired, t.recentEnds, t.isolated = nil, nil, nil
 	t.foreign = map[lavendercourse.RunID]bool{}
 	t.incarnation, t.token, t.lastEnd, t.workerClock, t.workerClockAt, t.grantedUntil, t.lastAnswer = 0, 0, 0, 0, 0, 0, 0
-	t.listedAt, t.hasClockOffset, t.unreachableAt, t.crashReported = 0, false, 0, false
+	t.listedAt, t.hasClockOffset, t.unreachableAt = 0, false, 0
 	t.draining, t.reconciled, t.prevMaxToken = false, false, t.maxToken
 	t.pace = pace{}
 	return append(actions, t.useReplacement(now)...)
@@ -840,7 +840,7 @@
 	t.reconciled, t.tokenStep = t.settled, initialTokenStep
 	t.clockOffset, t.hasClockOffset = workerRuns.Status.Clock-sent, true
 	old := t.isOldList(renewal, workerRuns)
-	actions := append(t.withdrawCrash(), t.reportReturn(now, workerRuns)...)
+	actions := append(t.withdrawCrash(workerRuns.Status.Incarnation), t.reportReturn(now, workerRuns)...)
 	actions = append(actions, t.recordEnds(now, workerRuns.Ended)...)
 	if old {
 		return actions
@@ -869,13 +869,13 @@
 // Reconciled reports whether the worker has listed all runs that it has, also those that a predecessor of this runner left.
 func (t *Table) Reconciled() bool { return t.reconciled }
 
-// withdrawCrash withdraws the report of a crash of the present incarnation, which answers.
-func (t *Table) withdrawCrash() []Action {
-	if !t.crashReported {
+// withdrawCrash withdraws the report of a crash of the given incarnation, which answers.
+func (t *Table) withdrawCrash(incarnation int64) []Action {
+	if t.crashedIncarnation != incarnation {
 		return nil
 	}
-	t.crashReported = false
-	return []Action{WithdrawCrash{Incarnation: t.incarnation}}
+	t.crashedIncarnation = 0
+	return []Action{WithdrawCrash{Incarnation: incarnation}}
 }
 
 // reportReturn reports that the worker still has runs in an incarnation that was taken for ended.
@@ -1024,10 +1024,10 @@
 	}
 	t.markUnreachable(now)
 	report := t.crashReport(now, now, evidenceRefused)
-	if !t.Unreachable() || !report.Observed || t.crashReported {
+	if !t.Unreachable() || !report.Observed || t.crashedIncarnation == t.latestIncarnation() {
 		return nil
 	}
-	t.crashReported = true
+	t.crashedIncarnation = t.latestIncarnation()
 	return []Action{report}
 }
 
