Count no answer, lease or record of an unnamed or earlier worker for the one that is called

A late answer of another worker ended its runs; the lease of a worker that drains was extended, while the wait for it began with the runner; a refusal without a clock reading granted a lease by the runner's clock, so that the runs of a crashed worker never ended. And the first list of any successor counted at once if nothing was heard of the recorded worker, whose heartbeats are 1.5 s apart.

Now such answers are forgotten once the worker has a name, no lease is granted before, or without a reading of its clock; the list of a successor counts at once only if that is younger than 2 s, since a worker that is replaced goes on for longer beside it; and the record is removed as soon as another worker sends heartbeats. A crash is reported early once in 500 ms at most.

TestRefusedStartEndsTheIncarnation is TestRefusedStartIsNotRepeated now: a refusal ends nothing.

--- a/event/event.go
+++ b/event/event.go
@@ -129,7 +129,7 @@
 	TokenAcquired       = register(603, zerolog.InfoLevel, "fencing token was acquired")
 	WorkerSilent        = register(604, zerolog.WarnLevel, "worker does not answer")
 	WorkerAnswers       = register(605, zerolog.InfoLevel, "worker answers")
-	WorkerRefuses       = register(606, zerolog.WarnLevel, "worker cannot be called; its runs end with its lease")
+	WorkerRefuses       = register(606, zerolog.WarnLevel, "worker cannot be called; it gets no new runs, and its lease is not renewed")
 	ReportInherited     = register(607, zerolog.InfoLevel, "worker report was inherited from the previous runner")
 	WorkerRecordInvalid = register(608, zerolog.WarnLevel, "worker record cannot be decoded or encoded")
 	RunStarted          = register(610, zerolog.InfoLevel, "run was sent to the worker")
--- a/room/config.go
+++ b/room/config.go
@@ -35,6 +35,9 @@
 	maxPlatformLease = clock.Second
 	// predecessorLease, in ms, is the longest time for which a worker may keep runs that a predecessor of the runner has started.
 	predecessorLease = maxPlatformLease * (100 + maxClockDriftPercent) / 100
+	// minDrainTime, in ms, is the shortest time for which a worker goes on after it has reported that it drains. In a release it does
+	// so once its successor has started.
+	minDrainTime = 2 * clock.Second
 	// renewalWait, in ms, is how long the worker may delay the answer to a renewal until a run ends. Three renewals fit
 	// into the lease of the worker.
 	renewalWait = 200 * clock.Millis(1)
--- a/room/end_test.go
+++ b/room/end_test.go
@@ -185,6 +185,7 @@
 	for _, worker := range []string{workerName, "w0"} {
 		h := newHarness(t)
 		began := h.now
+		h.workerStarted = began - 400
 		// The worker answers before the record of the predecessor was read.
 		h.renew(lavendercourse.ReplyAccepted)
 		h.inherit(worker)
--- /dev/null
+++ b/room/predecessor_test.go
@@ -0,0 +1,145 @@
+package room_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	lavendercourse "github.com/lavendercourse/lavendercourse"
+	"github.com/lavendercourse/lavendercourse/clock"
+)
+
+// oldRun is a run that a predecessor of the runner has started.
+var oldRun = lavendercourse.RunID{Job: "old", Task: 7, Run: 1}
+
+// Guards against a runner that is restarted during a release, before the old worker has reported draining, and takes the first list
+// of the new worker for the end of the runs on the old one.
+func TestReplacementBeforeHeartbeatOfOldWorker(t *testing.T) {
+	h := newHarness(t)
+	began := h.now
+	h.inherit(workerName)
+	h.renew(lavendercourse.ReplyIncarnation)
+	h.table.HandleHeartbeat(h.now, replacementReport(1))
+	h.incarnation = firstIncarnation + 5000
+	took := h.untilNothingIsLeft(began)
+	assert.Assert(t, took >= predecessorLease, "nothing is left after %d ms", took)
+}
+
+// Guards against the same after the old worker was heard before the record of the predecessor was read.
+func TestOldWorkerHeardBeforeRecordWasRead(t *testing.T) {
+	for _, answer := range []bool{false, true} {
+		h := newHarness(t)
+		began := h.now
+		if answer {
+			h.renew(lavendercourse.ReplyAccepted, oldRun)
+			h.incarnation = firstIncarnation + 5000
+			h.renew(lavendercourse.ReplyAccepted)
+		} else {
+			h.heartbeat(firstIncarnation, false)
+			h.renew(lavendercourse.ReplyIncarnation)
+		}
+		h.now += 50
+		h.inherit(workerName)
+		h.table.HandleHeartbeat(h.now, replacementReport(1))
+		h.incarnation = firstIncarnation + 5000
+		took := h.untilNothingIsLeft(began)
+		assert.Assert(t, took >= predecessorLease, "answer %t: nothing is left after %d ms", answer, took)
+	}
+}
+
+// Guards against renewals that name no worker and extend the lease of the old one, before the new one answers.
+func TestUnnamedRenewalsExtendLeaseOfOldWorker(t *testing.T) {
+	h := newHarness(t)
+	began := h.now
+	granted := clock.Millis(0)
+	for h.now < began+700 {
+		_, renewal, _ := h.table.NextRenewal(h.now)
+		if renewal.LeaseExpiry > 0 {
+			granted = renewal.LeaseExpiry - 100*clock.Second
+		}
+		h.renew(lavendercourse.ReplyAccepted, oldRun)
+		h.now += 20
+	}
+	h.incarnation = firstIncarnation + 5000
+	h.renew(lavendercourse.ReplyAccepted)
+	h.table.HandleHeartbeat(h.now, replacementReport(1))
+	took := h.untilNothingIsLeft(began)
+	assert.Assert(t, began+took >= granted, "nothing is left after %d ms, the lease was granted until %d ms", took, granted-began)
+}
+
+// Guards against a late answer to a call that named no worker and ends the runs of the one that is called since.
+func TestAnswerToUnnamedCallDoesNotEndRuns(t *testing.T) {
+	h := newHarness(t)
+	sent := h.now
+	_, unnamed, _ := h.table.NextRenewal(sent)
+	h.inherit(workerName)
+	h.heartbeat(firstIncarnation, false)
+	h.renew(lavendercourse.ReplyAccepted)
+	h.renew(lavendercourse.ReplyAccepted)
+	h.order(runID(0))
+	h.renew(lavendercourse.ReplyAccepted, runID(0))
+	h.now += 10
+	actions := h.table.HandleRenewalReply(h.now, sent, unnamed, lavendercourse.WorkerRuns{
+		Status: lavendercourse.WorkerStatus{Clock: 5000, Incarnation: firstIncarnation + 5000},
+	}, lavendercourse.ReplyAccepted)
+	assert.DeepEqual(t, describe(actions), []string{})
+}
+
+// Guards against a lease that is granted by the runner's clock, since the worker has refused a renewal without a clock reading.
+func TestRefusalWithoutClockGrantsNoLease(t *testing.T) {
+	h := newHarness(t)
+	h.now = 1000 * clock.Second
+	h.inherit(workerName)
+	_, renewal, _ := h.table.NextRenewal(h.now)
+	h.now++
+	h.table.HandleRenewalReply(h.now, h.now-1, renewal, lavendercourse.WorkerRuns{}, lavendercourse.ReplyUnavailable)
+	_, renewal, _ = h.table.NextRenewal(h.now)
+	assert.Equal(t, renewal.LeaseExpiry, clock.Millis(0))
+}
+
+// Guards against runs of a crashed worker that never end, because such a lease does not expire.
+func TestRunsEndAfterRefusalWithoutClock(t *testing.T) {
+	h := newHarness(t)
+	h.now = 1000 * clock.Second
+	h.inherit(workerName)
+	status := func() lavendercourse.WorkerStatus {
+		return lavendercourse.WorkerStatus{Clock: h.now - 990*clock.Second, Incarnation: firstIncarnation}
+	}
+	renew := func(reply lavendercourse.Reply, s lavendercourse.WorkerStatus, running ...lavendercourse.Running) {
+		sent := h.now
+		_, renewal, _ := h.table.NextRenewal(sent)
+		h.now++
+		h.table.HandleRenewalReply(h.now, sent, renewal, lavendercourse.WorkerRuns{Status: s, Running: running}, reply)
+	}
+	renew(lavendercourse.ReplyUnavailable, lavendercourse.WorkerStatus{})
+	renew(lavendercourse.ReplyUnavailable, lavendercourse.WorkerStatus{})
+	h.heartbeat(firstIncarnation, false)
+	renew(lavendercourse.ReplyAccepted, status())
+	renew(lavendercourse.ReplyAccepted, status())
+	h.order(runID(0))
+	renew(lavendercourse.ReplyAccepted, status(), lavendercourse.Running{Run: runID(0)})
+	began := h.now
+	for h.table.UnfinishedRuns() > 0 && h.now < began+60*clock.Second {
+		h.now += 25
+		h.table.RenewOwnerLease(entryName, h.now)
+		h.table.HandleRefusedConnection(h.now, h.now)
+		h.table.Tick(h.now)
+	}
+	assert.Assert(t, h.now-began < 3*clock.Second, "the run has not ended after %d ms", h.now-began)
+}
+
+// Guards against a report of a crash for each refused connection of a worker that answers in between.
+func TestRefusalsReportCrashOnce(t *testing.T) {
+	h := newReadyHarness(t)
+	h.order(runID(0))
+	h.renew(lavendercourse.ReplyAccepted, runID(0))
+	n := 0
+	for range 50 {
+		h.now += 10
+		h.table.RenewOwnerLease(entryName, h.now)
+		n += len(crashes(h.table.HandleRefusedConnection(h.now, h.now)))
+		h.now += 10
+		h.renew(lavendercourse.ReplyAccepted, runID(0))
+	}
+	assert.Equal(t, n, 1)
+}
--- a/room/room.go
+++ b/room/room.go
@@ -268,7 +268,7 @@
 	}
 	t.hasReplacement = false
 	arrived := t.replacementAt
-	if now-arrived > t.heartbeatInterval+reportAgeMargin {
+	if now-arrived > t.heartbeatInterval+reportAgeMargin || (t.describesWorker(t.replacement) && t.isStale(t.replacement)) {
 		return nil
 	}
 	actions, _ := t.HandleHeartbeat(now, t.replacement)
@@ -278,9 +278,8 @@
 
 // adopt makes a report the last one, and returns whether entries have to be sent the worker's description again.
 func (t *Table) adopt(now clock.Millis, report lavendercourse.WorkerReport) bool {
-	if !t.describesWorker(report) && report.Incarnation != t.incarnation {
-		// Answers to calls that name the other worker say nothing of this one.
-		t.token, t.prevMaxToken, t.reconciled = 0, t.maxToken, false
+	if (!t.hasReport || report.ID != t.worker.ID) && report.Incarnation != t.incarnation {
+		t.dropAnswers()
 	}
 	if !t.describesWorker(report) {
 		t.unreachableAt = 0
@@ -293,10 +292,21 @@
 	changed := !sameKind || !t.reportIsCurrent() || report.Capacity != t.worker.Capacity
 	t.measureInterval(now, report)
 	t.worker, t.hasReport, t.draining, t.inheritedAt, t.reportedAt = report, true, report.Draining, 0, now
-	t.hasReplacement = false
+	t.hasReplacement = t.hasReplacement && t.replacement.ID != report.ID
 	return changed
 }
 
+// dropAnswers forgets the answers to calls that named no worker or another one, and those that are still to come: they say nothing of
+// the worker that is called from now on.
+func (t *Table) dropAnswers() {
+	t.token, t.prevMaxToken, t.reconciled = 0, t.maxToken, false
+	t.workerClock, t.workerClockAt, t.lastAnswer, t.hasClockOffset, t.listedAt, t.lastEnd = 0, 0, 0, false, 0, 0
+	t.incarnation = 0
+}
+
+// BeingReplaced reports whether another worker sends heartbeats beside the one that the table describes.
+func (t *Table) BeingReplaced() bool { return t.hasReplacement && !t.describesWorker(t.replacement) }
+
 // restarts reports whether a heartbeat shows that the worker has restarted, before it answers in the new incarnation.
 func (t *Table) restarts() bool { return t.hasReplacement && t.describesWorker(t.replacement) }
 
@@ -319,6 +329,10 @@
 // only if the worker answers in the same incarnation.
 func (t *Table) InheritReport(now clock.Millis, report lavendercourse.WorkerReport) {
 	t.inheritedID = report.ID
+	t.inheritedSeen = t.incarnation == report.Incarnation || (t.hasReport && t.worker.ID == report.ID)
+	if !t.hasReport && t.incarnation != report.Incarnation {
+		t.dropAnswers()
+	}
 	if !t.hasReport {
 		t.worker, t.hasReport, t.draining, t.inheritedAt = report, true, report.Draining, now
 	}
@@ -376,6 +390,9 @@
 	var actions []Action
 	if report := t.crashReport(now, at, evidence); t.crashedIncarnation != t.latestIncarnation() && (len(report.Crash.Runs) > 0 || report.Observed) {
 		actions = append(actions, report)
+		if report.Observed {
+			t.crashedIncarnation = t.latestIncarnation()
+		}
 	}
 	for _, run := range t.sortedRuns() {
 		if run.state == stateWaiting {
@@ -778,7 +795,7 @@
 		t.raiseToken(now)
 	}
 	renewal := lavendercourse.Renewal{Token: t.token, AckedEnd: t.lastEnd}
-	if t.lastAnswer > 0 && now-t.lastAnswer < leaseExtensionCutoff && !t.Unreachable() {
+	if t.hasReport && t.workerClock > 0 && now-t.lastAnswer < leaseExtensionCutoff && !t.Unreachable() {
 		left := t.leaseLeft(now)
 		if left > 0 {
 			renewal.LeaseExpiry = t.grantLease(now)
@@ -850,15 +867,15 @@
 }
 
 // showsAllRuns reports whether a list with the given status shows all runs that a predecessor of this runner may have left. It does
-// so if it is of the worker that the predecessor called, whose earlier incarnations have ended, or if that one has given way to
-// another, as after a loss of power, and was not seen since. Otherwise it may drain beside its successor until the lease has expired
-// that the predecessor may have granted.
+// so if it is of the worker that the predecessor called, whose earlier incarnations have ended, or of another one that has just
+// started, as after a loss of power, while nothing is heard of that worker. Otherwise it may drain beside its successor until the lease
+// has expired that the predecessor may have granted.
 func (t *Table) showsAllRuns(now clock.Millis, status lavendercourse.WorkerStatus) bool {
 	if t.predecessorLeaseExpired(now) {
 		return true
 	}
 	known := t.inheritedID != "" && t.worker.Incarnation == status.Incarnation
-	return known && (t.worker.ID == t.inheritedID || !t.inheritedSeen)
+	return known && (t.worker.ID == t.inheritedID || (!t.inheritedSeen && status.Clock > 0 && status.Clock < minDrainTime))
 }
 
 // predecessorLeaseExpired reports whether the lease that a predecessor of this runner may have granted has expired.
@@ -866,7 +883,7 @@
 	return t.startedAt > 0 && now-t.startedAt >= predecessorLease
 }
 
-// Reconciled reports whether the worker has listed all runs that it has, also those that a predecessor of this runner left.
+// Reconciled reports whether a list under the present token has shown all runs, also those that a predecessor of this runner left.
 func (t *Table) Reconciled() bool { return t.reconciled }
 
 // withdrawCrash withdraws the report of a crash of the given incarnation, which answers.
@@ -1022,9 +1039,10 @@
 		// The worker has answered another call meanwhile, or this is known.
 		return nil
 	}
+	refusedLately := t.refusedLately(now)
 	t.markUnreachable(now)
 	report := t.crashReport(now, now, evidenceRefused)
-	if !t.Unreachable() || !report.Observed || t.crashedIncarnation == t.latestIncarnation() {
+	if !t.Unreachable() || refusedLately || !report.Observed || t.crashedIncarnation == t.latestIncarnation() {
 		return nil
 	}
 	t.crashedIncarnation = t.latestIncarnation()
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -38,10 +38,12 @@
 	// percent is the progress that the worker lists for its runs, incarnation the one that it answers with.
 	percent     int
 	incarnation int64
+	// workerStarted is the time at which the worker's clock read 0.
+	workerStarted clock.Millis
 }
 
 func newHarness(t *testing.T) *harness {
-	return &harness{T: t, table: room.New(room.Config{Epoch: epoch}), now: 10 * clock.Second, incarnation: firstIncarnation}
+	return &harness{T: t, table: room.New(room.Config{Epoch: epoch}), now: 10 * clock.Second, incarnation: firstIncarnation, workerStarted: -100 * clock.Second}
 }
 
 // newReadyHarness returns a harness whose worker accepts runs.
@@ -57,13 +59,15 @@
 
 // inherit simulates the record of a predecessor of the runner that has called the given worker.
 func (h *harness) inherit(worker string) {
-	h.table.InheritReport(h.now, lavendercourse.WorkerReport{
-		ID: worker, Incarnation: firstIncarnation, Service: "s", Domain: "d", Capacity: capacity,
-	})
+	report := lavendercourse.WorkerReport{ID: worker, Incarnation: firstIncarnation, Service: "s", Domain: "d", Capacity: capacity}
+	if worker != workerName {
+		report.Incarnation -= 500
+	}
+	h.table.InheritReport(h.now, report)
 }
 
 func (h *harness) workerStatus() lavendercourse.WorkerStatus {
-	return lavendercourse.WorkerStatus{Clock: h.now + 100*clock.Second, Incarnation: h.incarnation}
+	return lavendercourse.WorkerStatus{Clock: h.now - h.workerStarted, Incarnation: h.incarnation}
 }
 
 func (h *harness) heartbeat(incarnation int64, draining bool) []room.Action {
--- a/runner/record.go
+++ b/runner/record.go
@@ -86,12 +86,13 @@
 // updateRecord sets the record that the store should hold to the given report. The record of a draining worker is
 // removed, so that no successor takes runs for it. The caller holds the mutex.
 func (r *Runner) updateRecord(w lavendercourse.WorkerReport) {
-	if !w.Draining && !r.table.Reconciled() {
-		// A successor that finds the worker in the record takes its lists for complete.
+	// A successor takes the lists of the worker in the record for complete, and another worker for one whose predecessor has ended.
+	removed := w.Draining || r.table.BeingReplaced()
+	if !removed && !r.table.Reconciled() {
 		return
 	}
 	desired := []byte{}
-	if !w.Draining {
+	if !removed {
 		described := r.enrollment(w)
 		if r.recordDescribes(described) && w.Clock-r.recordClock < recordRefreshPeriod {
 			return
@@ -105,7 +106,7 @@
 		desired = b
 		r.recordClock = w.Clock
 	}
-	if bytes.Equal(desired, r.desiredRecord) {
+	if r.desiredRecord != nil && bytes.Equal(desired, r.desiredRecord) {
 		return
 	}
 	r.desiredRecord = desired
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -404,7 +404,7 @@
 	r.crashes = slices.DeleteFunc(r.crashes, func(c pastCrash) bool { return c.crash.Incarnation == incarnation })
 	for _, g := range r.gateways {
 		if g.enrolled {
-			// The error is ignored: the gateway forgets the crash with time.
+			// The error is ignored: the crash counts there until the gateway forgets it, after 30 s.
 			_ = g.link.Send(message.TypeCrash, message.CrashWithdrawn, message.Crash{Incarnation: incarnation})
 		}
 	}
--- a/runner/worker_test.go
+++ b/runner/worker_test.go
@@ -130,7 +130,7 @@
 
 // Guards against a series of starts to a worker that refuses connections, and against runs that are left in the table when it
 // does not come back.
-func TestRefusedStartEndsTheIncarnation(t *testing.T) {
+func TestRefusedStartIsNotRepeated(t *testing.T) {
 	w := &refusingWorker{}
 	r := newTestRunner(t, w)
 	r.await(t, "the runner takes no runs", func() bool { return r.table.AcceptsRuns(r.cfg.Clock.Now()) })
