--- a/room/end_test.go
+++ b/room/end_test.go
@@ -185,14 +185,14 @@
 	for _, worker := range []string{workerName, "w0"} {
 		h := newHarness(t)
 		began := h.now
-		h.workerStarted = began - 400
+		h.incarnation = int64(epoch + began - 400)
 		// The worker answers before the record of the predecessor was read.
 		h.renew(lavendercourse.ReplyAccepted)
 		h.inherit(worker)
 		if worker != workerName {
 			h.renew(lavendercourse.ReplyIncarnation)
 		}
-		h.heartbeat(firstIncarnation, false)
+		h.heartbeat(h.incarnation, false)
 		assert.Assert(t, h.untilNothingIsLeft(began) < 50)
 		assert.Assert(t, h.table.AcceptsRuns(h.now))
 	}
--- a/room/room.go
+++ b/room/room.go
@@ -875,7 +875,9 @@
 		return true
 	}
 	known := t.inheritedID != "" && t.worker.Incarnation == status.Incarnation
-	return known && (t.worker.ID == t.inheritedID || (!t.inheritedSeen && status.Clock > 0 && status.Clock < minDrainTime))
+	// The incarnation is the time of day at which the worker has started, on the same VM.
+	age := t.cfg.Epoch + now - clock.Millis(status.Incarnation)
+	return known && (t.worker.ID == t.inheritedID || (!t.inheritedSeen && age >= 0 && age < minDrainTime))
 }
 
 // predecessorLeaseExpired reports whether the lease that a predecessor of this runner may have granted has expired.
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -38,12 +38,10 @@
 	// percent is the progress that the worker lists for its runs, incarnation the one that it answers with.
 	percent     int
 	incarnation int64
-	// workerStarted is the time at which the worker's clock read 0.
-	workerStarted clock.Millis
 }
 
 func newHarness(t *testing.T) *harness {
-	return &harness{T: t, table: room.New(room.Config{Epoch: epoch}), now: 10 * clock.Second, incarnation: firstIncarnation, workerStarted: -100 * clock.Second}
+	return &harness{T: t, table: room.New(room.Config{Epoch: epoch}), now: 10 * clock.Second, incarnation: firstIncarnation}
 }
 
 // newReadyHarness returns a harness whose worker accepts runs.
@@ -67,7 +65,7 @@
 }
 
 func (h *harness) workerStatus() lavendercourse.WorkerStatus {
-	return lavendercourse.WorkerStatus{Clock: h.now - h.workerStarted, Incarnation: h.incarnation}
+	return lavendercourse.WorkerStatus{Clock: h.now + 100*clock.Second, Incarnation: h.incarnation}
 }
 
 func (h *harness) heartbeat(incarnation int64, draining bool) []room.Action {
