Keep the tasks of an agent that drains beside its successor

What callers see: a job with a task on an agent that drains was answered "failed, may have run" as soon as the successor, of the same name, linked, though the task went on and ended normally.

The cause: an entry keeps agents by name. The hello of another incarnation closed the link of the old one and gave up its unfinished starts, that is, the presence of another process was taken as proof of the end of the first.

Now the old agent keeps its link and its unfinished starts until the link closes (entry/replaced.go). Its dones end these starts, stops reach it, its heartbeats are answered, so that leases are renewed; its load and its leave no longer count for the successor, a second hello doesn't take the place of the successor, and the successor can't end starts that it never got. New tasks go to the successor only. Once the link is closed, the starts are lost at once, as before: a draining agent doesn't dial again, so no answer can come.

Events 305 and 306 are new; a loss of this kind was not logged before. The list of failure domains counts tasks of draining agents.

--- a/entry/agent.go
+++ b/entry/agent.go
@@ -83,8 +83,7 @@
 	}
 }
 
-func (c *core) sendToAgent(agent string, t message.Type, body any) {
-	a := c.agents[agent]
+func (c *core) sendToAgent(a *agentLink, t message.Type, body any) {
 	if a == nil || a.link == nil {
 		return
 	}
--- a/entry/core.go
+++ b/entry/core.go
@@ -60,6 +60,8 @@
 	quorum      *member.Quorum
 	configState *config.State
 	agents      map[string]*agentLink
+	// replaced holds the agents whose successor has joined, by their open link.
+	replaced    map[*link.Link]*replacedAgent
 	peers       map[string]*link.Link
 	queueItems  map[lavendercourse.JobID]*admission.Item
 	inFlight    map[placement.Attempt]inFlightStart
@@ -112,6 +114,7 @@
 		quorum:           member.NewQuorum(now, cfg.Quorum),
 		configState:      config.New(),
 		agents:           map[string]*agentLink{},
+		replaced:         map[*link.Link]*replacedAgent{},
 		peers:            map[string]*link.Link{},
 		queueItems:       map[lavendercourse.JobID]*admission.Item{},
 		inFlight:         map[placement.Attempt]inFlightStart{},
@@ -192,12 +195,13 @@
 			delete(c.waiters, j.ID())
 		}
 	}
-	stops := map[string][]message.Task{}
+	stops := map[*agentLink][]message.Task{}
 	for _, s := range c.jobs.TakeStops() {
-		stops[s.Agent] = append(stops[s.Agent], message.Task{Job: s.Key.Job().String(), Task: s.Key.Task(), Attempt: s.Attempt})
+		a := c.agentOf(s.Agent, placement.Attempt{Key: s.Key, Attempt: s.Attempt})
+		stops[a] = append(stops[a], message.Task{Job: s.Key.Job().String(), Task: s.Key.Task(), Attempt: s.Attempt})
 	}
-	for agent, tasks := range stops {
-		c.sendToAgent(agent, message.TypeStop, message.Stop{Tasks: tasks})
+	for a, tasks := range stops {
+		c.sendToAgent(a, message.TypeStop, message.Stop{Tasks: tasks})
 	}
 }
 
@@ -230,6 +234,11 @@
 			c.assignHomes()
 		}
 	}
+	for l, d := range c.replaced {
+		if now-d.lastStampAt > linkIdleTimeout && len(d.attempts) > 0 {
+			l.Close()
+		}
+	}
 	c.quorum.PruneContacts(now, 2*job.DefaultLifetime)
 	c.logHealthChanges()
 	for inc, at := range c.declaredGone {
--- a/entry/link.go
+++ b/entry/link.go
@@ -8,6 +8,7 @@
 	"github.com/lavendercourse/lavendercourse/link"
 	"github.com/lavendercourse/lavendercourse/member"
 	"github.com/lavendercourse/lavendercourse/message"
+	"github.com/lavendercourse/lavendercourse/placement"
 )
 
 // remoteProcess identifies the process at the other end of a link, known once it has sent a hello or welcome frame.
@@ -64,6 +65,11 @@
 		}
 		return
 	}
+	if d := r.replaced[l]; d != nil {
+		delete(r.replaced, l)
+		r.failReplaced(r.clock.Now(), d)
+		return
+	}
 	a := r.agents[remote.name]
 	if a == nil || a.link != l {
 		return
@@ -136,8 +142,20 @@
 }
 
 func (r *linkHandler) addAgent(l *link.Link, h message.Hello) {
+	if d := r.findReplaced(h); d != nil {
+		r.relinkReplaced(l, d)
+		return
+	}
 	now := r.clock.Now()
-	a := r.agents[h.Name]
+	a, earlier := r.agents[h.Name], r.fleet.Agent(h.Name)
+	var predecessor *agentLink
+	if a != nil && earlier != nil && earlier.Hello().Incarnation != h.Incarnation {
+		predecessor, a = a, nil
+		if predecessor.link == l {
+			// The process at the other end of the link is the successor now.
+			predecessor.link = nil
+		}
+	}
 	if a == nil {
 		a = &agentLink{}
 		r.agents[h.Name] = a
@@ -147,16 +165,16 @@
 	}
 	a.link, a.disconnectedAt, a.stamps, a.sentListRevision, a.sentIncarnation, a.lastStampAt = l, 0, nil, r.listRevision, r.jobs.Incarnation(), now
 	event.AgentJoined.On(r.logger).Str("agent", h.Name).Str("domain", h.Domain).Int("slots", h.Slots).Send()
-	if lost := r.fleet.Join(now, h); len(lost) > 0 {
-		r.failLostStarts(now, h.Name, lost)
+	unfinished := r.fleet.Join(now, h)
+	if predecessor != nil {
+		r.replaceAgent(now, predecessor, earlier.Hello(), unfinished)
 	}
 	r.assignHomes()
-	r.sendResume(h.Name)
+	r.sendResume(a, h.Name, r.fleet.Agent(h.Name).Attempts())
 }
 
-// sendResume asks an agent that has reconnected about the starts that have not ended.
-func (r *linkHandler) sendResume(name string) {
-	attempts := r.fleet.Agent(name).Attempts()
+// sendResume asks an agent that has reconnected about the attempts, which have not ended.
+func (c *core) sendResume(a *agentLink, name string, attempts []placement.Attempt) {
 	if len(attempts) == 0 {
 		return
 	}
@@ -164,21 +182,24 @@
 	tasks := make([]message.Task, len(attempts))
 	for i, attempt := range attempts {
 		tasks[i] = message.Task{Job: attempt.Key.Job().String(), Task: attempt.Key.Task(), Attempt: attempt.Attempt}
-		if j, err := r.jobs.Find(attempt.Key.Job()); err != nil || j.Ended() {
+		if j, err := c.jobs.Find(attempt.Key.Job()); err != nil || j.Ended() {
 			stops = append(stops, tasks[i])
 		}
 	}
 	if len(stops) > 0 {
 		// The stop that was sent when the job ended may have been lost with the earlier link.
-		r.sendToAgent(name, message.TypeStop, message.Stop{Tasks: stops})
+		c.sendToAgent(a, message.TypeStop, message.Stop{Tasks: stops})
 	}
-	event.AgentResumed.On(r.logger).Str("agent", name).Int("tasks", len(tasks)).Send()
-	r.sendToAgent(name, message.TypeResume, message.Resume{Tasks: tasks})
+	event.AgentResumed.On(c.logger).Str("agent", name).Int("tasks", len(tasks)).Send()
+	c.sendToAgent(a, message.TypeResume, message.Resume{Tasks: tasks})
 }
 
 func (r *linkHandler) handleAgentFrame(l *link.Link, name string, f message.Frame) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if d := r.replaced[l]; d != nil {
+		return r.handleReplacedFrame(d, f)
+	}
 	a := r.agents[name]
 	if a == nil || a.link != l {
 		return nil
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -93,6 +93,9 @@
 		d.Workers++
 		d.Running += uint32(a.Load().Running)
 	}
+	for _, a := range o.replaced {
+		domainNamed(a.hello.Domain).Running += uint32(a.running)
+	}
 	for name := range o.configState.DrainedDomains() {
 		domainNamed(name).Drained = true
 	}
--- a/entry/start.go
+++ b/entry/start.go
@@ -86,7 +86,7 @@
 	c.inFlight[attempt] = inFlightStart{agent: agent, item: item, call: call, team: item.Team(), kind: assigned.Task.Kind, span: span}
 	c.fleet.Sent(now, agent, attempt, call)
 	c.metrics.countStart(item.Class(), now-j.Arrived())
-	c.sendToAgent(agent, message.TypeStart, message.Start{
+	c.sendToAgent(c.agents[agent], message.TypeStart, message.Start{
 		Job: assigned.Key.Job().String(), Task: assigned.Key.Task(), Attempt: assigned.Attempt, Call: call,
 		Kind: assigned.Task.Kind, Class: uint8(item.Class()), Payload: assigned.Task.Payload,
 		Stamp: stamp, Agent: c.fleet.Agent(agent).Hello().Incarnation, Version: c.domainsVersion,
@@ -135,9 +135,19 @@
 		}
 	}
 	attempt := placement.Attempt{Key: lavendercourse.NewTaskKey(id, d.Task), Attempt: d.Attempt}
+	if c.agentOf(agent, attempt) != c.agents[agent] {
+		// The attempt is one of a replaced agent, and only that one knows how it ended.
+		return nil
+	}
+	c.endStart(now, attempt, agent, d)
+	return nil
+}
+
+// endStart ends a start that was sent to an agent of the given name.
+func (c *core) endStart(now clock.Millis, attempt placement.Attempt, agent string, d message.Done) {
 	f, ok := c.inFlight[attempt]
 	if !ok || f.agent != agent {
-		return nil
+		return
 	}
 	delete(c.inFlight, attempt)
 	expected, _ := c.runTimes.Learned(f.kind)
@@ -148,7 +158,6 @@
 	c.applyStartEnd(now, attempt, f, d)
 	c.finishEndedJobs()
 	c.startWaiting(now)
-	return nil
 }
 
 // applyStartEnd applies the end of a start to its job and its queue.
--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,8 @@
 	AgentLeaving         = register(302, zerolog.InfoLevel, "agent is leaving")
 	AgentResumed         = register(303, zerolog.InfoLevel, "agent reconnected and was asked about unfinished tasks")
 	LeaveUnanswered      = register(304, zerolog.WarnLevel, "entry did not answer the leave of this entry")
+	AgentReplaced        = register(305, zerolog.InfoLevel, "agent was replaced; it keeps its unfinished tasks until its link closes")
+	ReplacedAgentLost    = register(306, zerolog.WarnLevel, "link of a replaced agent is closed; the outcome of its tasks is unknown")
 	JobFailed            = register(310, zerolog.InfoLevel, "job failed")
 	JobRefused           = register(311, zerolog.DebugLevel, "job or call was refused; nothing of it ran")
 	CallFailed           = register(312, zerolog.DebugLevel, "call failed")
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -105,7 +105,8 @@
 }
 
 // Join adds an agent that has connected, or updates it if the same incarnation has reconnected. If a new incarnation
-// replaces an earlier one, Join returns the unfinished attempts of the earlier one, which are lost.
+// replaces an earlier one, Join returns the unfinished attempts of the earlier one, which the fleet forgets. They are not
+// lost while the earlier one drains.
 func (f *Fleet) Join(now clock.Millis, hello message.Hello) []Attempt {
 	var lost []Attempt
 	old := f.agents[hello.Name]
