Log the release of a slot whose task is not known to have ended

What operators see: after a lease without an answered stop, an agent gave a held slot away and no log told of it, and the error of a stop without an answer was dropped. The backend server may then run more tasks than it has slots, and nothing explained why.

Event 412 (warn) is logged with the task, the time for which the slot was held and the error of the last stop. It is rare, at most once for each slot and lease. Event 413 is logged for a stop without an answer, at level debug, since a wave of cancellations may bring one for each task, and 412 follows if the slot is given away. Neither is logged when the agent itself ends. No stop is sent after the lease has expired any more, since its error would hide the cause.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -383,8 +383,15 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(a.ctx, a.leaseDuration().Duration())
 		defer cancel()
-		for a.requestStop(ctx, key) != nil && ctx.Err() == nil {
+		err := a.requestStop(ctx, key)
+		for err != nil && ctx.Err() == nil {
 			daemon.Sleep(ctx, pollPeriod)
+			if ctx.Err() == nil {
+				err = a.requestStop(ctx, key)
+			}
+		}
+		if err != nil && a.ctx.Err() == nil {
+			event.SlotReleased.On(a.cfg.Logger).Stringer("task", key).Int64("held", int64(a.leaseDuration())).Err(err).Send()
 		}
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -399,7 +406,10 @@
 		return
 	}
 	go func() {
-		if a.requestStop(a.ctx, key) != nil {
+		if err := a.requestStop(a.ctx, key); err != nil {
+			if a.ctx.Err() == nil {
+				event.StopUnanswered.On(a.cfg.Logger).Stringer("task", key).Err(err).Send()
+			}
 			// The server does not answer. Closing the connection of the request is all that is left; see holdSlot.
 			cancel(nil)
 			return
