Do not take an outage of the log for the silence of entries

What callers see: after an outage of the log of more than 30 s, or a jump of its time of day, the first entry that announces itself is alone on the list until the others do so. It is its own majority then; if its links are cut, it may declare an owner gone ("failed, may have run") that is alive and answers its jobs as complete. A clock that is set back by more than 30 s removes each entry with its own announcement, so that the last one left is alone, too.

The rule now: where more than 20 s lie between two records, or a time of day is more than 20 s below the highest before, that time doesn't count. Every listed entry announces itself each 10 s, so two periods without any record show nothing about one entry. Silence while others announce themselves counts as before, so entries that end still leave the list, also after an outage. A list of at most one entry is excepted, as the case "expired" of TestListScenarios asks; that it may act beside an entry that joins is a known gap, now with this case. Entries are expired after each record, since the rule depends on the length of the list and pages must not matter.

--- a/member/list.go
+++ b/member/list.go
@@ -21,9 +21,15 @@
 var ErrMalformedRecord = eris.New("malformed member record")
 
 // AnnouncementTTL is the time in ms for which an announcement remains valid unless it is repeated. Its age is measured
-// between the timestamps of records in the log.
+// between the timestamps of records in the log, without the gaps described at MaxRecordGap.
 const AnnouncementTTL = 30 * clock.Second
 
+// MaxRecordGap is the time in ms between two records of the log above which it does not count as silence of the listed
+// entries. Each announces itself every 10 s, so no record for two such periods means that nobody could append, or that
+// the log's time of day was set. It counts if at most one entry is listed, which has no majority besides itself: the
+// entry that joins would otherwise wait for an entry that may have ended long ago.
+const MaxRecordGap = 20 * clock.Second
+
 // Announcement is a record of the stream: an entry announces itself or leaves.
 type Announcement struct {
 	Name        string `cbor:"name"`
@@ -58,16 +64,19 @@
 
 type listEntry struct {
 	announcement Announcement
-	// loggedAt is the timestamp in ms of the record, or 0 if a peer passed on the announcement.
+	// loggedAt is the value of List.elapsed at the record, or 0 if a peer passed on the announcement.
 	loggedAt clock.Millis
 }
 
 // List holds the entries that the records applied so far announce.
 type List struct {
 	offset uint64
-	// newestTime is the highest timestamp in ms of the records applied.
+	// newestTime is the highest timestamp in ms of the records applied since the log's time of day was last set back.
 	newestTime clock.Millis
-	entries    map[string]listEntry
+	// elapsed is the time in ms by which announcements expire: the timestamp of the first record and the time since then,
+	// without the gaps described at MaxRecordGap.
+	elapsed clock.Millis
+	entries map[string]listEntry
 	// owners holds the name of the entry for each incarnation, also for incarnations that have ended.
 	owners map[lavendercourse.Incarnation]string
 	// revision counts the changes of entries, so that callers do nothing for a repeated announcement.
@@ -89,24 +98,51 @@
 			continue
 		}
 		l.offset = r.Offset
-		l.newestTime = max(l.newestTime, r.Time)
-		a, err := Decode(r.Data)
-		if err != nil {
-			continue
-		}
-		l.owners[lavendercourse.Incarnation(a.Incarnation)] = a.Name
-		if a.Leave {
-			l.remove(a.Name)
-			continue
-		}
-		if l.entries[a.Name].announcement != a {
-			l.revision++
-		}
-		l.entries[a.Name] = listEntry{announcement: a, loggedAt: r.Time}
+		l.advance(r.Time)
+		// Every record is followed by the expiry of entries, since advance depends on the list and so must not depend on
+		// where the pages end.
+		l.applyRecord(r)
+		l.expire()
 	}
-	// Announcements expire by the timestamps of the log alone, so that no entry is removed while the log is unavailable.
+}
+
+// advance adds the time since the record before to elapsed.
+func (l *List) advance(at clock.Millis) {
+	since := at - l.newestTime
+	switch {
+	case l.newestTime == 0:
+		l.elapsed = at
+	case since > MaxRecordGap && len(l.entries) > 1, since < -MaxRecordGap:
+		// An outage of the log, or a step of its time of day.
+	case since > 0:
+		l.elapsed += since
+	default:
+		return
+	}
+	l.newestTime = at
+}
+
+func (l *List) applyRecord(r lavendercourse.Record) {
+	a, err := Decode(r.Data)
+	if err != nil {
+		return
+	}
+	l.owners[lavendercourse.Incarnation(a.Incarnation)] = a.Name
+	if a.Leave {
+		l.remove(a.Name)
+		return
+	}
+	if l.entries[a.Name].announcement != a {
+		l.revision++
+	}
+	l.entries[a.Name] = listEntry{announcement: a, loggedAt: l.elapsed}
+}
+
+// expire removes the entries whose announcement has expired. It goes by the timestamps of the log alone, so that no
+// entry is removed while the log is unavailable.
+func (l *List) expire() {
 	for name, e := range l.entries {
-		if l.newestTime-e.loggedAt > AnnouncementTTL {
+		if l.elapsed-e.loggedAt > AnnouncementTTL {
 			l.remove(name)
 		}
 	}
