Hold the slots of tasks that a predecessor of the agent has started

What callers see: after an agent was killed, its successor granted all slots while the backend server ran the tasks of the killed one on, so that it ran more tasks than it has slots. A successor that joins while its predecessor drains did the same.

The cause: the table of a new agent is empty, and the absence of a record was taken for a free slot. The schema of backend servers had no list of running tasks; the reports of Usage lag behind and prove nothing.

The schema has List now. An agent asks for it with the first poll, before it links to an entry, and holds a slot for each listed task until a list, asked for with each further poll, no longer has the task. It sends no stop for them, since a draining predecessor may still report them. A list without an answer is a poll without an answer. A backend server that offers no list gets all its slots granted as before, with event 423 (warn). Event 422 tells of held slots.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -105,6 +105,8 @@
 	// answerNumber is the frame number of the heartbeats that awaitHeartbeatAnswers sent last.
 	answerNumber uint64
 	backend      backendStatus
+	// predecessorTasks holds the tasks of a predecessor that the backend server still runs. Each of them holds a slot.
+	predecessorTasks map[lavendercourse.TaskKey]bool
 	// failedDials holds the addresses whose last dial failed, so that each outage is logged once. Only dial uses it.
 	failedDials map[string]bool
 }
@@ -134,7 +136,7 @@
 		cfg: cfg, ctx: ctx, cancel: cancel, table: slot.New(cfg.Slots),
 		links: map[string]*entryLink{}, entries: map[string]string{},
 		running:     map[lavendercourse.TaskKey]context.CancelCauseFunc{},
-		failedDials: map[string]bool{}, backend: newBackendStatus(),
+		failedDials: map[string]bool{}, backend: newBackendStatus(), predecessorTasks: map[lavendercourse.TaskKey]bool{},
 		metrics: newAgentMetrics(telemetry.NewMetrics(cfg.Counters)),
 	}
 	a.table.SetBackendUp(cfg.Clock.Now(), false)
--- a/agent/hold_test.go
+++ b/agent/hold_test.go
@@ -51,6 +51,8 @@
 
 func (*unresponsiveBackend) Ping(context.Context) error { return nil }
 
+func (*unresponsiveBackend) List(context.Context) ([]lavendercourse.TaskKey, error) { return nil, nil }
+
 func (*unresponsiveBackend) Call(ctx context.Context, _ lavendercourse.Work) (lavendercourse.Result, error) {
 	<-ctx.Done()
 	return lavendercourse.Result{}, errNoStop
--- a/agent/slot_test.go
+++ b/agent/slot_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -29,6 +31,12 @@
 
 func (b *disconnectingBackend) Ping(context.Context) error { return nil }
 
+func (b *disconnectingBackend) List(context.Context) ([]lavendercourse.TaskKey, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Collect(maps.Keys(b.running)), nil
+}
+
 func (b *disconnectingBackend) Call(context.Context, lavendercourse.Work) (lavendercourse.Result, error) {
 	return lavendercourse.Result{}, worker.ErrUnanswered
 }
--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -56,11 +56,13 @@
 
 func (e *lateStartEntry) Closed(*link.Link) {}
 
-// healthyBackend answers polls and nothing else.
+// healthyBackend answers polls and runs nothing.
 type healthyBackend struct{ lavendercourse.Backend }
 
 func (healthyBackend) Ping(context.Context) error { return nil }
 
+func (healthyBackend) List(context.Context) ([]lavendercourse.TaskKey, error) { return nil, nil }
+
 // Guards against closing the links in Stop while a start is in flight. The start would get no reply, so the entry could
 // not tell that the task did not run and would fail the job.
 func TestStopAnswersStartsInFlight(t *testing.T) {
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	lavendercourse "github.com/lavendercourse/lavendercourse"
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/event"
 	"github.com/lavendercourse/lavendercourse/link"
@@ -59,6 +60,10 @@
 	ctx, cancel := context.WithTimeout(a.ctx, pollPeriod.Duration())
 	defer cancel()
 	err := a.cfg.Backend.Ping(ctx)
+	var listed []lavendercourse.TaskKey
+	if err == nil && a.needsList() {
+		listed, err = a.listTasks(ctx)
+	}
 	if a.ctx.Err() != nil {
 		return
 	}
@@ -70,6 +75,7 @@
 		}
 		return
 	}
+	a.updatePredecessorTasks(listed)
 	a.pollSucceeded()
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -91,14 +91,16 @@
 
 // Events of an agent.
 var (
-	EntryLinked    = register(400, zerolog.InfoLevel, "linked to entry")
-	LinkRetired    = register(401, zerolog.InfoLevel, "link is closed, since enough gateways of a higher rank are linked")
-	LeasesExpired  = register(410, zerolog.WarnLevel, "tasks are being stopped because their owner did not renew their leases")
-	StartRefused   = register(411, zerolog.DebugLevel, "start was refused")
-	SlotReleased   = register(412, zerolog.WarnLevel, "slot was released without proof that its task has ended")
-	StopUnanswered = register(413, zerolog.DebugLevel, "backend server did not answer the stop of a task")
-	WorkerDown     = register(420, zerolog.ErrorLevel, "backend server does not answer")
-	WorkerUp       = register(421, zerolog.InfoLevel, "backend server answers")
+	EntryLinked      = register(400, zerolog.InfoLevel, "linked to entry")
+	LinkRetired      = register(401, zerolog.InfoLevel, "link is closed, since enough gateways of a higher rank are linked")
+	LeasesExpired    = register(410, zerolog.WarnLevel, "tasks are being stopped because their owner did not renew their leases")
+	StartRefused     = register(411, zerolog.DebugLevel, "start was refused")
+	SlotReleased     = register(412, zerolog.WarnLevel, "slot was released without proof that its task has ended")
+	StopUnanswered   = register(413, zerolog.DebugLevel, "backend server did not answer the stop of a task")
+	WorkerDown       = register(420, zerolog.ErrorLevel, "backend server does not answer")
+	WorkerUp         = register(421, zerolog.InfoLevel, "backend server answers")
+	PredecessorTasks = register(422, zerolog.InfoLevel, "backend server runs tasks of a predecessor; their slots are held")
+	TasksNotListed   = register(423, zerolog.WarnLevel, "backend server does not list its running tasks; all slots are granted")
 )
 
 // Events of a gateway.
--- a/lavendercourse.go
+++ b/lavendercourse.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/lavendercourse/lavendercourse/clock"
 )
 
@@ -63,8 +65,14 @@
 	Stop(ctx context.Context, key TaskKey) error
 	// Ping returns an error if the backend server does not answer.
 	Ping(ctx context.Context) error
+	// List returns all tasks that the backend server runs, whoever started them. It returns ErrNoList if the backend
+	// server does not offer the list.
+	List(ctx context.Context) ([]TaskKey, error)
 }
 
+// ErrNoList is returned by Backend.List if the backend server does not offer a list of its running tasks.
+var ErrNoList = eris.New("backend server does not list its running tasks")
+
 // Result is the answer of a backend server to a task or call.
 type Result struct {
 	Data []byte
--- a/schema/worker/v1/workerv1connect/worker.connect.go
+++ b/schema/worker/v1/workerv1connect/worker.connect.go
@@ -47,6 +47,8 @@
 	WorkerServiceThrottleProcedure = "/worker.v1.WorkerService/Throttle"
 	// WorkerServiceUsageProcedure is the fully-qualified name of the WorkerService's Usage RPC.
 	WorkerServiceUsageProcedure = "/worker.v1.WorkerService/Usage"
+	// WorkerServiceListProcedure is the fully-qualified name of the WorkerService's List RPC.
+	WorkerServiceListProcedure = "/worker.v1.WorkerService/List"
 )
 
 // WorkerServiceClient is a client for the worker.v1.WorkerService service.
@@ -63,6 +65,8 @@
 	Throttle(context.Context, *connect.Request[v1.ThrottleRequest]) (*connect.Response[v1.ThrottleResponse], error)
 	// Usage reports what tasks used lately. Reports lag behind.
 	Usage(context.Context, *connect.Request[v1.UsageRequest]) (*connect.Response[v1.UsageResponse], error)
+	// List returns all tasks that run now, whoever started them. An agent that starts asks for it.
+	List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error)
 }
 
 // NewWorkerServiceClient constructs a client for the worker.v1.WorkerService service. By default,
@@ -112,6 +116,12 @@
 			connect.WithSchema(workerServiceMethods.ByName("Usage")),
 			connect.WithClientOptions(opts...),
 		),
+		list: connect.NewClient[v1.ListRequest, v1.ListResponse](
+			httpClient,
+			baseURL+WorkerServiceListProcedure,
+			connect.WithSchema(workerServiceMethods.ByName("List")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -123,6 +133,7 @@
 	checkpoint *connect.Client[v1.CheckpointRequest, v1.CheckpointResponse]
 	throttle   *connect.Client[v1.ThrottleRequest, v1.ThrottleResponse]
 	usage      *connect.Client[v1.UsageRequest, v1.UsageResponse]
+	list       *connect.Client[v1.ListRequest, v1.ListResponse]
 }
 
 // Run calls worker.v1.WorkerService.Run.
@@ -155,6 +166,11 @@
 	return c.usage.CallUnary(ctx, req)
 }
 
+// List calls worker.v1.WorkerService.List.
+func (c *workerServiceClient) List(ctx context.Context, req *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error) {
+	return c.list.CallUnary(ctx, req)
+}
+
 // WorkerServiceHandler is an implementation of the worker.v1.WorkerService service.
 type WorkerServiceHandler interface {
 	// Run starts a task and returns when it has ended.
@@ -169,6 +185,8 @@
 	Throttle(context.Context, *connect.Request[v1.ThrottleRequest]) (*connect.Response[v1.ThrottleResponse], error)
 	// Usage reports what tasks used lately. Reports lag behind.
 	Usage(context.Context, *connect.Request[v1.UsageRequest]) (*connect.Response[v1.UsageResponse], error)
+	// List returns all tasks that run now, whoever started them. An agent that starts asks for it.
+	List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error)
 }
 
 // NewWorkerServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -214,6 +232,12 @@
 		connect.WithSchema(workerServiceMethods.ByName("Usage")),
 		connect.WithHandlerOptions(opts...),
 	)
+	workerServiceListHandler := connect.NewUnaryHandler(
+		WorkerServiceListProcedure,
+		svc.List,
+		connect.WithSchema(workerServiceMethods.ByName("List")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/worker.v1.WorkerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case WorkerServiceRunProcedure:
@@ -228,6 +252,8 @@
 			workerServiceThrottleHandler.ServeHTTP(w, r)
 		case WorkerServiceUsageProcedure:
 			workerServiceUsageHandler.ServeHTTP(w, r)
+		case WorkerServiceListProcedure:
+			workerServiceListHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -260,3 +286,7 @@
 func (UnimplementedWorkerServiceHandler) Usage(context.Context, *connect.Request[v1.UsageRequest]) (*connect.Response[v1.UsageResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("worker.v1.WorkerService.Usage is not implemented"))
 }
+
+func (UnimplementedWorkerServiceHandler) List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("worker.v1.WorkerService.List is not implemented"))
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -145,6 +145,17 @@
 	return connect.NewResponse(resp), nil
 }
 
+// List implements WorkerService.
+func (w *Worker) List(context.Context, *connect.Request[workerv1.ListRequest]) (*connect.Response[workerv1.ListResponse], error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	resp := &workerv1.ListResponse{}
+	for key := range w.cancels {
+		resp.Tasks = append(resp.Tasks, &workerv1.RunningTask{Job: key.job, Task: key.task})
+	}
+	return connect.NewResponse(resp), nil
+}
+
 func (w *Worker) begin(s Start, key taskKey, cancel context.CancelFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/worker/client.go
+++ b/worker/client.go
@@ -85,6 +85,26 @@
 	return nil
 }
 
+// List returns all tasks that the backend server runs.
+func (c *Client) List(ctx context.Context) ([]lavendercourse.TaskKey, error) {
+	resp, err := c.control.List(ctx, connect.NewRequest(&workerv1.ListRequest{}))
+	if connect.CodeOf(err) == connect.CodeUnimplemented {
+		return nil, eris.Wrapf(lavendercourse.ErrNoList, "list: %v", err)
+	}
+	if err != nil {
+		return nil, eris.Wrapf(ErrUnanswered, "list: %v", err)
+	}
+	keys := make([]lavendercourse.TaskKey, 0, len(resp.Msg.GetTasks()))
+	for _, t := range resp.Msg.GetTasks() {
+		id, err := lavendercourse.ParseJobID(t.GetJob())
+		if err != nil {
+			return nil, eris.Wrapf(err, "list")
+		}
+		keys = append(keys, lavendercourse.NewTaskKey(id, t.GetTask()))
+	}
+	return keys, nil
+}
+
 // Ping returns an error if the backend server does not answer.
 func (c *Client) Ping(ctx context.Context) error {
 	if _, err := c.control.Usage(ctx, connect.NewRequest(&workerv1.UsageRequest{})); err != nil {
