Give a replaced agent its place back when the agent that joined later leaves

What callers would see: the entry takes the agent that joined last for the successor. If an entry restarts while an agent and its successor both run, and the old one joins last and then drains, the successor stayed a replaced agent at this entry and got no work from it until its link broke.

Now a replaced agent that isn't leaving takes the place, with its unfinished starts, once the agent that joined later leaves or has been without a link for 10 s. Its own leave and hello are kept for that.

Evidence: the three cases of TestReplacedAgentTakesPlaceOfLeavingAgent are new. They call the new code, so they were not run without it.

--- a/entry/core.go
+++ b/entry/core.go
@@ -231,6 +231,7 @@
 			lost := c.fleet.Remove(name)
 			event.AgentLost.On(c.logger).Str("agent", name).Int("tasks", len(lost)).Send()
 			c.failLostStarts(now, name, lost)
+			c.promoteReplaced(name)
 			c.assignHomes()
 		}
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -141,13 +141,13 @@
 	r.applyListChange()
 }
 
-func (r *linkHandler) addAgent(l *link.Link, h message.Hello) {
-	if d := r.findReplaced(h); d != nil {
-		r.relinkReplaced(l, d)
+func (c *core) addAgent(l *link.Link, h message.Hello) {
+	if d := c.findReplaced(h); d != nil {
+		c.relinkReplaced(l, d)
 		return
 	}
-	now := r.clock.Now()
-	a, earlier := r.agents[h.Name], r.fleet.Agent(h.Name)
+	now := c.clock.Now()
+	a, earlier := c.agents[h.Name], c.fleet.Agent(h.Name)
 	var predecessor *agentLink
 	if a != nil && earlier != nil && earlier.Hello().Incarnation != h.Incarnation {
 		predecessor, a = a, nil
@@ -158,19 +158,19 @@
 	}
 	if a == nil {
 		a = &agentLink{}
-		r.agents[h.Name] = a
+		c.agents[h.Name] = a
 	}
 	if a.link != nil && a.link != l {
 		a.link.Close()
 	}
-	a.link, a.disconnectedAt, a.stamps, a.sentListRevision, a.sentIncarnation, a.lastStampAt = l, 0, nil, r.listRevision, r.jobs.Incarnation(), now
-	event.AgentJoined.On(r.logger).Str("agent", h.Name).Str("domain", h.Domain).Int("slots", h.Slots).Send()
-	unfinished := r.fleet.Join(now, h)
+	a.link, a.disconnectedAt, a.stamps, a.sentListRevision, a.sentIncarnation, a.lastStampAt = l, 0, nil, c.listRevision, c.jobs.Incarnation(), now
+	event.AgentJoined.On(c.logger).Str("agent", h.Name).Str("domain", h.Domain).Int("slots", h.Slots).Send()
+	unfinished := c.fleet.Join(now, h)
 	if predecessor != nil {
-		r.replaceAgent(now, predecessor, earlier.Hello(), unfinished)
+		c.replaceAgent(now, predecessor, earlier, unfinished)
 	}
-	r.assignHomes()
-	r.sendResume(a, h.Name, r.fleet.Agent(h.Name).Attempts())
+	c.assignHomes()
+	c.sendResume(a, h.Name, c.fleet.Agent(h.Name).Attempts())
 }
 
 // sendResume asks an agent that has reconnected about the attempts, which have not ended.
@@ -220,6 +220,7 @@
 	case message.TypeLeave:
 		event.AgentLeaving.On(r.logger).Str("agent", name).Send()
 		r.fleet.SetLeaving(name)
+		r.promoteReplaced(name)
 	}
 	return nil
 }
--- a/entry/replaced.go
+++ b/entry/replaced.go
@@ -17,6 +17,8 @@
 type replacedAgent struct {
 	*agentLink
 	hello message.Hello
+	// leaving is set while the agent takes no work. One that isn't leaving is a successor whose predecessor joined later.
+	leaving bool
 	// running is the number of running tasks in the last load report.
 	running int
 	// attempts holds the unfinished attempts of this entry on the agent.
@@ -25,8 +27,11 @@
 
 // replaceAgent keeps an agent whose successor has joined, with its unfinished attempts, until its link closes. If the
 // link is closed already, the attempts are lost: a draining agent does not dial again, so no answer can come.
-func (c *core) replaceAgent(now clock.Millis, old *agentLink, hello message.Hello, attempts []placement.Attempt) {
-	d := &replacedAgent{agentLink: old, hello: hello, running: len(attempts), attempts: map[placement.Attempt]bool{}}
+func (c *core) replaceAgent(now clock.Millis, old *agentLink, earlier *placement.Agent, attempts []placement.Attempt) {
+	hello := earlier.Hello()
+	d := &replacedAgent{
+		agentLink: old, hello: hello, leaving: earlier.Leaving(), running: len(attempts), attempts: map[placement.Attempt]bool{},
+	}
 	for _, attempt := range attempts {
 		d.attempts[attempt] = true
 	}
@@ -58,7 +63,23 @@
 	return nil
 }
 
-// relinkReplaced handles a hello of a replaced agent. It does not take the place of its successor again.
+// promoteReplaced gives the place of an agent that is leaving or lost to a replaced agent of its name that isn't leaving,
+// if there is one. An agent that is about to drain may join after its successor, for instance when the entry restarts.
+func (c *core) promoteReplaced(name string) {
+	for l, d := range c.replaced {
+		if d.hello.Name != name || d.leaving {
+			continue
+		}
+		delete(c.replaced, l)
+		c.addAgent(l, d.hello)
+		for attempt := range d.attempts {
+			c.fleet.Sent(c.clock.Now(), name, attempt, c.inFlight[attempt].call)
+		}
+		return
+	}
+}
+
+// relinkReplaced handles a hello of a replaced agent. It takes the place of its successor only if that one is leaving.
 func (c *core) relinkReplaced(l *link.Link, d *replacedAgent) {
 	if d.link != l {
 		delete(c.replaced, d.link)
@@ -66,6 +87,12 @@
 		d.link, d.sentListRevision, d.sentIncarnation, d.lastStampAt = l, c.listRevision, c.jobs.Incarnation(), c.clock.Now()
 		c.replaced[l] = d
 	}
+	d.leaving = false
+	current := c.fleet.Agent(d.hello.Name)
+	if current == nil || current.Leaving() && c.agents[d.hello.Name].link != nil {
+		c.promoteReplaced(d.hello.Name)
+		return
+	}
 	c.sendResume(d.agentLink, d.hello.Name, slices.Collect(maps.Keys(d.attempts)))
 }
 
@@ -101,6 +128,7 @@
 		}
 	case message.TypeLeave:
 		event.AgentLeaving.On(c.logger).Str("agent", d.hello.Name).Send()
+		d.leaving = true
 	}
 	return nil
 }
--- a/entry/replaced_test.go
+++ b/entry/replaced_test.go
@@ -207,3 +207,80 @@
 		})
 	}
 }
+
+// Guards against a successor that gets no more work because its predecessor joined after it, as after a restart of the
+// entry, and then left or was lost.
+func TestReplacedAgentTakesPlaceOfLeavingAgent(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		predecessorEnds func(t *testing.T, r *replacement, agent frameCollector, l *link.Link)
+	}{
+		{"leaves", func(t *testing.T, _ *replacement, agent frameCollector, l *link.Link) {
+			assert.NilError(t, l.Send(message.TypeLeave, 0, message.Leave{}))
+			synchronize(t, agent, l)
+		}},
+		{"is lost", func(t *testing.T, r *replacement, _ frameCollector, l *link.Link) {
+			l.Close()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				if r.agents["w"].link == nil {
+					return poll.Success()
+				}
+				return poll.Continue("the link is open")
+			}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
+			r.clock.(*clock.Manual).Advance(agentLostAfter)
+			// The successor sends heartbeats meanwhile.
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			for _, d := range r.replaced {
+				d.recordStamp(r.clock.Now(), 2)
+			}
+			r.sweep(r.clock.Now())
+			assert.Equal(t, r.fleet.Agent("w").Hello().Incarnation, "predecessor", "it may reconnect")
+			r.clock.(*clock.Manual).Advance(1)
+			r.sweep(r.clock.Now())
+		}},
+		{"leaves after the successor could not work for a while", func(t *testing.T, r *replacement, agent frameCollector, l *link.Link) {
+			var successor *link.Link
+			r.mu.Lock()
+			for l := range r.replaced {
+				successor = l
+			}
+			r.mu.Unlock()
+			r.mu.Lock()
+			assert.NilError(t, r.handleReplacedFrame(r.replaced[successor], message.Frame{Type: message.TypeLeave}))
+			r.mu.Unlock()
+			assert.NilError(t, l.Send(message.TypeLeave, 0, message.Leave{}))
+			synchronize(t, agent, l)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			assert.Equal(t, r.fleet.Agent("w").Hello().Incarnation, "predecessor", "both are leaving")
+			r.addAgent(successor, r.replaced[successor].hello)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newReplacement(t)
+			successor, successorLink := r.join(t, "successor")
+			synchronize(t, successor, successorLink)
+			r.sendTask(t)
+			predecessor, predecessorLink := r.join(t, "predecessor")
+			synchronize(t, predecessor, predecessorLink)
+			r.mu.Lock()
+			assert.Equal(t, r.fleet.Agent("w").Hello().Incarnation, "predecessor")
+			r.mu.Unlock()
+			tc.predecessorEnds(t, r, predecessor, predecessorLink)
+			r.mu.Lock()
+			w := r.fleet.Agent("w")
+			assert.Equal(t, w.Hello().Incarnation, "successor")
+			assert.Assert(t, !w.Leaving())
+			assert.Equal(t, w.Unfinished(), 1)
+			r.mu.Unlock()
+			assert.NilError(t, successorLink.Send(message.TypeDone, 0, r.done("result")))
+			assert.Equal(t, r.awaitEnd(t).Outcome, lavendercourse.OutcomeComplete)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			assert.Equal(t, r.fleet.Agent("w").Unfinished(), 0)
+		})
+	}
+}
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -66,6 +66,9 @@
 // Unfinished returns the number of unfinished attempts of this entry on the agent, tasks and calls.
 func (a *Agent) Unfinished() int { return len(a.sentAt) }
 
+// Leaving reports whether the agent gets no more work, see Fleet.SetLeaving.
+func (a *Agent) Leaving() bool { return a.leaving }
+
 // Health returns the worker's health, one of HealthNames.
 func (a *Agent) Health() string {
 	if a.leaving {
