--- a/agent/agent.go
+++ b/agent/agent.go
@@ -105,6 +105,8 @@
 	// answerNumber is the frame number of the heartbeats that awaitHeartbeatAnswers sent last.
 	answerNumber uint64
 	backend      backendStatus
+	// predecessorTasks holds the tasks of a predecessor that the backend server still runs. Each of them holds a slot.
+	predecessorTasks map[lavendercourse.TaskKey]bool
 	// failedDials holds the addresses whose last dial failed, so that each outage is logged once. Only dial uses it.
 	failedDials map[string]bool
 }
@@ -134,7 +136,7 @@
 		cfg: cfg, ctx: ctx, cancel: cancel, table: slot.New(cfg.Slots),
 		links: map[string]*entryLink{}, entries: map[string]string{},
 		running:     map[lavendercourse.TaskKey]context.CancelCauseFunc{},
-		failedDials: map[string]bool{}, backend: newBackendStatus(),
+		failedDials: map[string]bool{}, backend: newBackendStatus(), predecessorTasks: map[lavendercourse.TaskKey]bool{},
 		metrics: newAgentMetrics(telemetry.NewMetrics(cfg.Counters)),
 	}
 	a.table.SetBackendUp(cfg.Clock.Now(), false)
@@ -383,8 +385,15 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(a.ctx, a.leaseDuration().Duration())
 		defer cancel()
-		for a.requestStop(ctx, key) != nil && ctx.Err() == nil {
+		err := a.requestStop(ctx, key)
+		for err != nil && ctx.Err() == nil {
 			daemon.Sleep(ctx, pollPeriod)
+			if ctx.Err() == nil {
+				err = a.requestStop(ctx, key)
+			}
+		}
+		if err != nil && a.ctx.Err() == nil {
+			event.SlotReleased.On(a.cfg.Logger).Stringer("task", key).Int64("held", int64(a.leaseDuration())).Err(err).Send()
 		}
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -399,7 +408,10 @@
 		return
 	}
 	go func() {
-		if a.requestStop(a.ctx, key) != nil {
+		if err := a.requestStop(a.ctx, key); err != nil {
+			if a.ctx.Err() == nil {
+				event.StopUnanswered.On(a.cfg.Logger).Stringer("task", key).Err(err).Send()
+			}
 			// The server does not answer. Closing the connection of the request is all that is left; see holdSlot.
 			cancel(nil)
 			return
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -66,6 +66,9 @@
 // Unfinished returns the number of unfinished attempts of this entry on the agent, tasks and calls.
 func (a *Agent) Unfinished() int { return len(a.sentAt) }
 
+// Leaving reports whether the agent gets no more work, see Fleet.SetLeaving.
+func (a *Agent) Leaving() bool { return a.leaving }
+
 // Health returns the worker's health, one of HealthNames.
 func (a *Agent) Health() string {
 	if a.leaving {
@@ -105,7 +108,8 @@
 }
 
 // Join adds an agent that has connected, or updates it if the same incarnation has reconnected. If a new incarnation
-// replaces an earlier one, Join returns the unfinished attempts of the earlier one, which are lost.
+// replaces an earlier one, Join returns the unfinished attempts of the earlier one, which the fleet forgets. They are not
+// lost while the earlier one drains.
 func (f *Fleet) Join(now clock.Millis, hello message.Hello) []Attempt {
 	var lost []Attempt
 	old := f.agents[hello.Name]
--- a/taskworker.go
+++ b/taskworker.go
@@ -95,7 +95,8 @@
 type WorkerStatus struct {
 	// Clock is the time of the worker's clock at the answer, in ms.
 	Clock clock.Millis
-	// Incarnation identifies the incarnation of the worker. It is 0 if the answer does not contain it.
+	// Incarnation identifies the incarnation of the worker: the time of day of its start, in ms since the Unix epoch. It is 0 if the
+	// answer does not contain it.
 	Incarnation int64
 }
 
@@ -160,7 +161,7 @@
 type WorkerReport struct {
 	// ID is the instance id of the worker.
 	ID string
-	// Incarnation identifies the incarnation of the worker.
+	// Incarnation identifies the incarnation of the worker, as in WorkerStatus.
 	Incarnation int64
 	Service     string
 	Domain      string
