--- a/room/config.go
+++ b/room/config.go
@@ -197,8 +197,8 @@
 }
 
 // ReportCrash instructs the runner to log that the worker's process ended, or has probably ended, while it may have executed the
-// given runs. It comes before the ReportEnd actions of these runs, which may follow later. A crash of an idle worker has no runs: it shows that the worker crashes for
-// other reasons.
+// given runs. It comes before the ReportEnd actions of these runs, which may follow later. A crash of an idle worker has no runs: it
+// shows that the worker crashes for other reasons.
 type ReportCrash struct {
 	Crash message.Crash
 	// Observed is set if the worker answered until its process ended, and was not shutting down. Only then the runs may have
--- a/room/room.go
+++ b/room/room.go
@@ -1,7 +1,6 @@
 package room
 
 import (
-	"slices"
 	"sort"
 
 	lavendercourse "github.com/lavendercourse/lavendercourse"
@@ -35,14 +34,6 @@
 	causeUndelivered       = "worker could not be called"
 )
 
-// Evidence for the end of an incarnation, as written to logs.
-const (
-	evidenceRefused  = "connection refused"
-	evidenceAnswer   = "answer of another incarnation"
-	evidenceReplaced = "heartbeat of another worker, and no runs left"
-	evidenceLease    = "lease of a worker that could not be called"
-)
-
 // Table is the table of the runs on one worker. Times are in ms by the runner's clock unless noted. It is not safe for
 // concurrent use.
 type Table struct {
@@ -145,9 +136,6 @@
 	}
 }
 
-// Worker returns the last report of the worker, and false if it is not of the worker's current incarnation.
-func (t *Table) Worker() (lavendercourse.WorkerReport, bool) { return t.worker, t.reportIsCurrent() }
-
 // Token returns the fencing token in use, or 0 if there is none.
 func (t *Table) Token() int64 { return t.token }
 
@@ -179,18 +167,6 @@
 		!t.draining && !t.domainDrained && !t.shuttingDown && t.reconciled && len(t.foreign) == 0 && now-t.lastAnswer < silentAfter
 }
 
-// reportAge returns the age of the last report in ms, or more. It is measured by the worker's clock, since a report may have
-// waited while this runner was paused or another one ran, or by the time of its arrival if the report has no clock reading.
-func (t *Table) reportAge(now clock.Millis) clock.Millis {
-	switch {
-	case t.worker.Clock > 0 && t.hasClockOffset:
-		return now + t.clockOffset - t.worker.Clock
-	case t.inheritedAt != 0:
-		return maxClock
-	}
-	return now - t.reportedAt
-}
-
 // Free returns the part of the worker's capacity that is not used by runs in the table, or nothing while the worker is
 // reserved for an isolated run.
 func (t *Table) Free() lavendercourse.Resources {
@@ -219,227 +195,6 @@
 // RefuseNewRuns makes the table refuse all new runs, since the runner is shutting down.
 func (t *Table) RefuseNewRuns() { t.shuttingDown = true }
 
-// HandleHeartbeat processes a heartbeat of the worker. It also returns whether entries have to be sent the worker's
-// description again, since it has changed. A heartbeat of another worker or incarnation does not end the runs of the present
-// one, which may go on beside it; it is kept until that has ended.
-func (t *Table) HandleHeartbeat(now clock.Millis, report lavendercourse.WorkerReport) ([]Action, bool) {
-	t.inheritedSeen = t.inheritedSeen || report.ID == t.inheritedID
-	sameWorker := t.describesWorker(report)
-	if sameWorker && t.isStale(report) {
-		return nil, false
-	}
-	if !t.canAdopt(now, report) {
-		if sameWorker || !report.Draining {
-			t.replacement, t.replacementAt, t.hasReplacement = report, now, true
-		}
-		return nil, false
-	}
-	var actions []Action
-	if t.incarnation != 0 && report.Incarnation != t.incarnation {
-		actions = t.endIncarnation(now, evidenceReplaced)
-	}
-	return actions, t.adopt(now, report)
-}
-
-// describesWorker reports whether a report is of the worker that the table describes, maybe of another incarnation.
-func (t *Table) describesWorker(report lavendercourse.WorkerReport) bool {
-	return !t.hasReport || report.ID == t.worker.ID
-}
-
-// canAdopt reports whether a report may take the place of the last one now: it is of the incarnation that answers, or none has
-// answered yet, or the worker that it replaces is leaving or silent and has no runs. A worker that is leaving does not take the
-// place of its successor again.
-func (t *Table) canAdopt(now clock.Millis, report lavendercourse.WorkerReport) bool {
-	switch {
-	case report.Incarnation == t.incarnation:
-		return true
-	case t.incarnation == 0:
-		return t.describesWorker(report) || !report.Draining
-	case t.describesWorker(report):
-		return false
-	}
-	return t.reconciled && len(t.runs) == 0 && len(t.foreign) == 0 && (t.draining || !t.AnsweredWithin(now, silentAfter))
-}
-
-// useReplacement adopts the report that was kept, if it may take the place of the last one now and is not too old.
-func (t *Table) useReplacement(now clock.Millis) []Action {
-	if !t.hasReplacement || !t.canAdopt(now, t.replacement) {
-		return nil
-	}
-	t.hasReplacement = false
-	arrived := t.replacementAt
-	if now-arrived > t.heartbeatInterval+reportAgeMargin || (t.describesWorker(t.replacement) && t.isStale(t.replacement)) {
-		return nil
-	}
-	actions, _ := t.HandleHeartbeat(now, t.replacement)
-	t.reportedAt = arrived
-	return append(actions, DescribeWorker{})
-}
-
-// adopt makes a report the last one, and returns whether entries have to be sent the worker's description again.
-func (t *Table) adopt(now clock.Millis, report lavendercourse.WorkerReport) bool {
-	if (!t.hasReport || report.ID != t.worker.ID) && report.Incarnation != t.incarnation {
-		t.dropAnswers()
-	}
-	if !t.describesWorker(report) {
-		t.unreachableAt = 0
-	}
-	sameKind := t.hasReport && report.Incarnation == t.worker.Incarnation && report.ID == t.worker.ID &&
-		report.Service == t.worker.Service && slices.Equal(report.Labels, t.worker.Labels)
-	if !sameKind {
-		t.describedAt = now
-	}
-	changed := !sameKind || !t.reportIsCurrent() || report.Capacity != t.worker.Capacity
-	t.measureInterval(now, report)
-	t.worker, t.hasReport, t.draining, t.inheritedAt, t.reportedAt = report, true, report.Draining, 0, now
-	t.hasReplacement = t.hasReplacement && t.replacement.ID != report.ID
-	return changed
-}
-
-// dropAnswers forgets the answers to calls that named no worker or another one, and those that are still to come: they say nothing of
-// the worker that is called from now on.
-func (t *Table) dropAnswers() {
-	t.token, t.prevMaxToken, t.reconciled = 0, t.maxToken, false
-	t.workerClock, t.workerClockAt, t.lastAnswer, t.hasClockOffset, t.listedAt, t.lastEnd = 0, 0, 0, false, 0, 0
-	t.incarnation = 0
-}
-
-// BeingReplaced reports whether another worker sends heartbeats beside the one that the table describes.
-func (t *Table) BeingReplaced() bool { return t.hasReplacement && !t.describesWorker(t.replacement) }
-
-// restarts reports whether a heartbeat shows that the worker has restarted, before it answers in the new incarnation.
-func (t *Table) restarts() bool { return t.hasReplacement && t.describesWorker(t.replacement) }
-
-// measureInterval updates the interval of the heartbeats if the given one follows the last one.
-func (t *Table) measureInterval(now clock.Millis, report lavendercourse.WorkerReport) {
-	if t.reportedAt == 0 || report.Incarnation != t.worker.Incarnation || report.Sequence != t.worker.Sequence+1 {
-		return
-	}
-	interval := now - t.reportedAt
-	if report.Clock > 0 && t.worker.Clock > 0 {
-		interval = report.Clock - t.worker.Clock
-	}
-	if !t.intervalMeasured || interval < t.heartbeatInterval {
-		t.heartbeatInterval, t.intervalMeasured = max(interval, minHeartbeatInterval), true
-	}
-}
-
-// InheritReport sets the worker report that a predecessor of this runner received, so that a restarted runner accepts
-// runs before the next heartbeat. The report is used until a heartbeat arrives, for at most inheritedReportTimeout, and
-// only if the worker answers in the same incarnation.
-func (t *Table) InheritReport(now clock.Millis, report lavendercourse.WorkerReport) {
-	t.inheritedID = report.ID
-	t.inheritedSeen = t.incarnation == report.Incarnation || (t.hasReport && t.worker.ID == report.ID)
-	if !t.hasReport && t.incarnation != report.Incarnation {
-		t.dropAnswers()
-	}
-	if !t.hasReport {
-		t.worker, t.hasReport, t.draining, t.inheritedAt = report, true, report.Draining, now
-	}
-}
-
-// isStale reports whether a heartbeat is older than what is known of the worker.
-func (t *Table) isStale(report lavendercourse.WorkerReport) bool {
-	switch {
-	case report.Incarnation < t.latestIncarnation():
-		return true
-	case t.incarnation != 0 && report.Incarnation > t.incarnation:
-		// The worker's time of day may have been set back between two incarnations. A heartbeat that is no newer than
-		// the last report is then of the earlier incarnation.
-		return report.Incarnation <= t.worker.Incarnation
-	}
-	return report.ID == t.worker.ID && report.Incarnation == t.worker.Incarnation && report.Sequence <= t.worker.Sequence
-}
-
-// latestIncarnation returns the newest known incarnation. The one that the worker answers with takes precedence over
-// the last heartbeat, since the time of day at a worker may be set back between two incarnations.
-func (t *Table) latestIncarnation() int64 {
-	if t.incarnation != 0 {
-		return t.incarnation
-	}
-	return t.worker.Incarnation
-}
-
-// reportIsCurrent reports whether the last report is of the incarnation that the worker answers with. Another
-// incarnation may have a different capacity, even at the same address.
-func (t *Table) reportIsCurrent() bool {
-	return t.hasReport && (t.worker.Incarnation == t.incarnation || (t.incarnation == 0 && t.inheritedAt == 0))
-}
-
-// HandleDeregistration records that the worker with the given id is shutting down, so that it gets no new runs. Its
-// runs continue.
-func (t *Table) HandleDeregistration(worker string) {
-	if t.hasReport && worker == t.worker.ID {
-		t.draining = true
-	}
-	if t.hasReplacement && worker == t.replacement.ID {
-		t.hasReplacement = false
-	}
-}
-
-// endIncarnation ends all runs and resets the state that belongs to the worker's incarnation. Unanswered starts may be
-// carried out by the next incarnation until it has listed its runs, so their runs become stateInDoubt and are not
-// reported as ended yet.
-func (t *Table) endIncarnation(now clock.Millis, evidence string) []Action {
-	t.endedIncarnation, t.endedAt = t.latestIncarnation(), now
-	// at is the time at which the process ended, as far as is known.
-	at := now
-	if t.Unreachable() {
-		at = t.unreachableAt
-	}
-	var actions []Action
-	if report := t.crashReport(now, at, evidence); t.crashedIncarnation != t.latestIncarnation() && (len(report.Crash.Runs) > 0 || report.Observed) {
-		actions = append(actions, report)
-		if report.Observed {
-			t.crashedIncarnation = t.latestIncarnation()
-		}
-	}
-	for _, run := range t.sortedRuns() {
-		if run.state == stateWaiting {
-			actions = t.endRun(actions, now, run, lavendercourse.EndRefused, lavendercourse.ReplyUnavailable, causeWorkerEnded)
-			continue
-		}
-		if run.startsSent > run.startsAnswered {
-			run.state, run.inDoubtSince, run.endKind, run.endCause = stateInDoubt, at, lavendercourse.EndCrashed, causeWorkerEnded
-			continue
-		}
-		actions = t.endRun(actions, now, run, lavendercourse.EndCrashed, lavendercourse.ReplyAccepted, causeWorkerEnded)
-	}
-	t.expired, t.recentEnds, t.isolated = nil, nil, nil
-	t.foreign = map[lavendercourse.RunID]bool{}
-	t.incarnation, t.token, t.lastEnd, t.workerClock, t.workerClockAt, t.grantedUntil, t.lastAnswer = 0, 0, 0, 0, 0, 0, 0
-	t.listedAt, t.hasClockOffset, t.unreachableAt = 0, false, 0
-	t.draining, t.reconciled, t.prevMaxToken = false, false, t.maxToken
-	t.pace = pace{}
-	return append(actions, t.useReplacement(now)...)
-}
-
-// crashReport returns the report of a crash of the worker at the given time in ms, with the runs that it may have had.
-func (t *Table) crashReport(now, at clock.Millis, evidence string) ReportCrash {
-	report := ReportCrash{
-		Evidence: evidence, Crash: message.Crash{Incarnation: t.latestIncarnation(), Ago: now - at, Runs: slices.Clone(t.expired)}, Silent: at - t.lastAnswer,
-		Draining: t.draining, Observed: t.lastAnswer > 0 && at-t.lastAnswer < silentAfter && !t.draining,
-	}
-	for range t.expired {
-		report.States = append(report.States, stateExpired)
-	}
-	for _, ended := range t.endsSince(at - isolationDelay) {
-		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: ended.id, Age: at - ended.sentAt})
-		report.States = append(report.States, stateEnded)
-	}
-	for id := range t.foreign {
-		report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: id})
-		report.States = append(report.States, stateForeign)
-	}
-	for _, run := range t.sortedRuns() {
-		if run.state != stateWaiting && !run.neverStarted() {
-			report.Crash.Runs = append(report.Crash.Runs, message.CrashedRun{Run: run.id, Age: at - run.firstSentAt})
-			report.States = append(report.States, run.state.String())
-		}
-	}
-	return report
-}
-
 // HandleOrder processes an order of an entry: each run is started or refused. The order also renews the owner lease of
 // the entry.
 func (t *Table) HandleOrder(now clock.Millis, entry string, o message.Order) []Action {
@@ -866,46 +621,6 @@
 	return t.reconcile(actions, now, sent, workerRuns.Running)
 }
 
-// showsAllRuns reports whether a list with the given status shows all runs that a predecessor of this runner may have left. It does
-// so if it is of the worker that the predecessor called, whose earlier incarnations have ended, or of another one that has just
-// started, as after a loss of power, while nothing is heard of that worker. Otherwise it may drain beside its successor until the lease
-// has expired that the predecessor may have granted.
-func (t *Table) showsAllRuns(now clock.Millis, status lavendercourse.WorkerStatus) bool {
-	if t.predecessorLeaseExpired(now) {
-		return true
-	}
-	known := t.inheritedID != "" && t.worker.Incarnation == status.Incarnation
-	// The incarnation is the time of day at which the worker has started, on the same VM.
-	age := t.cfg.Epoch + now - clock.Millis(status.Incarnation)
-	return known && (t.worker.ID == t.inheritedID || (!t.inheritedSeen && age >= 0 && age < minDrainTime))
-}
-
-// predecessorLeaseExpired reports whether the lease that a predecessor of this runner may have granted has expired.
-func (t *Table) predecessorLeaseExpired(now clock.Millis) bool {
-	return t.startedAt > 0 && now-t.startedAt >= predecessorLease
-}
-
-// Reconciled reports whether a list under the present token has shown all runs, also those that a predecessor of this runner left.
-func (t *Table) Reconciled() bool { return t.reconciled }
-
-// withdrawCrash withdraws the report of a crash of the given incarnation, which answers.
-func (t *Table) withdrawCrash(incarnation int64) []Action {
-	if t.crashedIncarnation != incarnation {
-		return nil
-	}
-	t.crashedIncarnation = 0
-	return []Action{WithdrawCrash{Incarnation: incarnation}}
-}
-
-// reportReturn reports that the worker still has runs in an incarnation that was taken for ended.
-func (t *Table) reportReturn(now clock.Millis, workerRuns lavendercourse.WorkerRuns) []Action {
-	if t.endedIncarnation == 0 || workerRuns.Status.Incarnation != t.endedIncarnation || len(workerRuns.Running) == 0 {
-		return nil
-	}
-	t.endedIncarnation = 0
-	return []Action{ReportReturn{Incarnation: workerRuns.Status.Incarnation, Away: now - t.endedAt, Running: len(workerRuns.Running)}}
-}
-
 // isOldList reports whether the worker made a list before one that was processed already: its clock reads less, or it
 // does not show the last end that is known.
 func (t *Table) isOldList(renewal lavendercourse.Renewal, workerRuns lavendercourse.WorkerRuns) bool {
@@ -1032,41 +747,6 @@
 	return run.estimate * clock.Millis(100-run.percent) / clock.Millis(t.pace.percent)
 }
 
-// HandleRefusedConnection records that the worker's address refused the connection for a call that was sent at the given time
-// in ms. This does not show that the worker's process has ended, with its runs: a worker that shuts down closes its listener
-// first. The runs end with the worker's lease, unless it answers before. Entries are told at once that the worker has probably
-// crashed, as a task that crashes its workers must be found quickly; this is withdrawn if the worker answers.
-func (t *Table) HandleRefusedConnection(now, sent clock.Millis) []Action {
-	if t.lastAnswer > sent || t.Unreachable() {
-		// The worker has answered another call meanwhile, or this is known.
-		return nil
-	}
-	refusedLately := t.refusedLately(now)
-	t.markUnreachable(now)
-	report := t.crashReport(now, now, evidenceRefused)
-	if !t.Unreachable() || refusedLately || !report.Observed || t.crashedIncarnation == t.latestIncarnation() {
-		return nil
-	}
-	t.crashedIncarnation = t.latestIncarnation()
-	return []Action{report}
-}
-
-// markUnreachable records that the worker cannot be called.
-func (t *Table) markUnreachable(now clock.Millis) {
-	if t.lastAnswer > 0 && !t.Unreachable() {
-		t.unreachableAt = now
-	}
-}
-
-// Unreachable reports whether the worker cannot be called since its last answer: its address refuses connections, or another worker
-// answers there.
-func (t *Table) Unreachable() bool { return t.unreachableAt > 0 && t.unreachableAt >= t.lastAnswer }
-
-// refusedLately reports whether the worker could not be called a short time ago. It may still answer on open connections.
-func (t *Table) refusedLately(now clock.Millis) bool {
-	return t.unreachableAt > 0 && now-t.unreachableAt < silentAfter
-}
-
 // Tick applies all time-outs: it stops runs whose entry's lease has expired, ends the runs of a silent worker whose
 // lease has expired and runs that were in doubt for Config.inDoubtTimeout, and repeats stops that had no effect. The runner
 // calls it periodically.
@@ -1096,16 +776,6 @@
 	return actions
 }
 
-// leaseExpired reports whether all runs on the worker must have ended because its lease has expired, even if its clock is slow
-// by maxClockDriftPercent.
-func (t *Table) leaseExpired(now clock.Millis) bool {
-	if now-t.lastAnswer < silentAfter || !t.predecessorLeaseExpired(now) {
-		return false
-	}
-	elapsed := now - t.workerClockAt
-	return t.workerClock+elapsed-elapsed*maxClockDriftPercent/100 > t.grantedUntil+stopRetryInterval
-}
-
 // endRun removes a run from the table and reports its end to its entry, unless the link to the entry has ended.
 func (t *Table) endRun(actions []Action, now clock.Millis, run *trackedRun, kind lavendercourse.EndKind, reason lavendercourse.Reply, cause string) []Action {
 	delete(t.runs, keyOf(run.id))
