Wait for the shell in TestProcessIsStartedOnce before counting its starts

It killed the shell 200 ms after its start, before that had written its line. Shown with a shell that waits for 300 ms before it writes: the old test fails with the same text, the new one passes. It waits for the first line now, then 200 ms for a second one as before.

--- a/standin/soak/process_test.go
+++ b/standin/soak/process_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // Guards against a process that outlives its soak: two faults restarted it at the same time, and only the second
@@ -24,12 +25,21 @@
 		wg.Go(func() { assert.Check(t, p.start()) })
 	}
 	wg.Wait()
+	starts := func() int {
+		b, err := os.ReadFile(log)
+		assert.NilError(t, err)
+		return strings.Count(string(b), "started")
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if starts() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the shell has not started")
+	}, poll.WithTimeout(startLimit))
 	time.Sleep(200 * time.Millisecond)
 	p.signal(syscall.SIGKILL)
 	p.await(time.Second)
-	b, err := os.ReadFile(log)
-	assert.NilError(t, err)
-	assert.Equal(t, strings.Count(string(b), "started"), 1)
+	assert.Equal(t, starts(), 1)
 	assert.NilError(t, p.start())
 	p.signal(syscall.SIGKILL)
 	p.await(time.Second)
