--- a/review/stage/ledger.go
+++ b/review/stage/ledger.go
@@ -84,7 +84,7 @@
 		for i, a := range all {
 			for _, b := range all[i+1:] {
 				if a.how == "" || a.ended > b.began {
-					found = append(found, fmt.Sprintf("task %s: run %d on %s from %s to %s, run %d on %s from %s to %s", task,
+					found = append(found, fmt.Sprintf("TWICE: task %s: run %d on %s from %s to %s, run %d on %s from %s to %s", task,
 						a.run, a.worker, stamp(a.began), endOf(a), b.run, b.worker, stamp(b.began), endOf(b)))
 				}
 			}
