--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -65,8 +65,8 @@
 	lastEnd  int
 	sequence int
 	draining bool
-	// drainAcked is the time at which a heartbeat with the state draining was acknowledged first, or 0.
-	drainAcked time.Duration
+	// drainAcked is set once a heartbeat with the state draining was acknowledged.
+	drainAcked bool
 	closed     bool
 }
 
@@ -178,19 +178,12 @@
 	acked := w.report("heartbeat", body)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if draining && acked && w.drainAcked == 0 {
-		w.drainAcked = w.ledger.now()
+	if draining && acked && !w.drainAcked {
+		w.drainAcked = true
 		w.ledger.note("worker %s: its report that it drains is acknowledged", w.id)
 	}
 }
 
-// acked returns the time at which the runner acknowledged first that the worker drains, or 0.
-func (w *worker) acked() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.drainAcked
-}
-
 // report sends a status report and returns whether it was acknowledged within a second.
 func (w *worker) report(kind string, body []byte) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
