Bound the receive buffers of accepted connections

Callers saw: a gateway that gets little processor time is ended for its memory while clients send many large or chunked bodies and stop just short of the end. Its callers get broken connections.

Cause: bytes that have been received and not yet read count as memory of the process, and nothing bounded them. The kernel enlarges the receive buffer of a connection to megabytes, and a process that runs a seventh of the time reads late. The ledger of intake charges only what is read, so the tests, which looked at resident memory alone, passed.

Change: listeners of gateways and runners set a receive buffer before they listen, and connections inherit it, so the kernel stops a client until the process reads. All buffers together have a fifth of the memory; a buffer has 8 to 16 KiB, and if there are too many connections for that, fewer are allowed. The soft limit of the garbage collector goes from 70 to 60 % to make room. An unknown memory is treated as before.

Connections that wait to be accepted are not bounded yet.

--- a/command/daemon.go
+++ b/command/daemon.go
@@ -18,8 +18,9 @@
 
 const (
 	// memoryLimitPercent is the soft memory limit of the Go runtime, in percent of the memory that the process may use.
-	// Above the limit, the garbage collector runs more often.
-	memoryLimitPercent = 70
+	// Above the limit, the garbage collector runs more often. Unread bytes may take 20 %, and the program itself takes
+	// 14 MB.
+	memoryLimitPercent = 60
 	// maxFiles is the number of descriptors that are used at most if a process may have any number of them open.
 	maxFiles = 1 << 20
 	// logFlushTimeout bounds the wait until the last log lines are written.
--- a/command/gateway.go
+++ b/command/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/lavendercourse/lavendercourse/clock"
 	"github.com/lavendercourse/lavendercourse/gateway"
+	"github.com/lavendercourse/lavendercourse/intake"
 	"github.com/lavendercourse/lavendercourse/platform"
 	"github.com/lavendercourse/lavendercourse/queue"
 	"github.com/lavendercourse/lavendercourse/settings"
@@ -26,7 +27,8 @@
 }
 
 func startGateway(s settings.Settings, logger zerolog.Logger, out *telemetry.Writer) (stopper, error) {
-	listeners, err := listenAll(s.Gateway.Callers, s.Gateway.Ready, s.Gateway.Links, s.Gateway.Metrics)
+	limits := inputLimits(s)
+	listeners, err := listenAll(limits, s.Gateway.Callers, s.Gateway.Ready, s.Gateway.Links, s.Gateway.Metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -44,19 +46,19 @@
 			MaxJobs: s.Gateway.Jobs, PreferRunners: s.Gateway.Prefer == settings.On, RefuseLate: s.Gateway.Late == settings.LateRefuse,
 			Neighbours: s.Gateway.Neighbours == settings.On,
 		},
-		Limits: inputLimits(s), Clock: clock.NewBoot(), Logger: logger, LogBudget: s.Log.Budget,
+		Limits: limits, Clock: clock.NewBoot(), Logger: logger, LogBudget: s.Log.Budget,
 		DroppedLogLines: out.Dropped,
 	})
 }
 
-// listenAll opens a TCP listener for each address. The listener of an empty address is nil.
-func listenAll(addresses ...string) ([]net.Listener, error) {
+// listenAll opens a TCP listener for each address, with bounded receive buffers. The listener of an empty address is nil.
+func listenAll(limits intake.Limits, addresses ...string) ([]net.Listener, error) {
 	listeners := make([]net.Listener, len(addresses))
 	for i, address := range addresses {
 		if address == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", address)
+		l, err := intake.Listen(limits, address)
 		if err != nil {
 			for _, open := range listeners[:i] {
 				if open != nil {
--- a/command/runner.go
+++ b/command/runner.go
@@ -24,7 +24,8 @@
 }
 
 func startRunner(s settings.Settings, logger zerolog.Logger, out *telemetry.Writer) (stopper, error) {
-	listeners, err := listenAll(s.Runner.Reports, s.Runner.Metrics)
+	limits := inputLimits(s)
+	listeners, err := listenAll(limits, s.Runner.Reports, s.Runner.Metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -35,7 +36,7 @@
 		Store:        platform.NewStore(platform.StoreConfig{Address: s.Store.Address, Timeout: s.Store.Timeout}),
 		ConfigStream: platform.ConfigStream, Decode: platform.DecodeConfig,
 		GatewayStream: platform.GatewayStream, WorkerStream: platform.WorkerStream(s.Place.Domain),
-		Limits: inputLimits(s), Clock: clock.NewBoot(), Logger: logger, LogBudget: s.Log.Budget,
+		Limits: limits, Clock: clock.NewBoot(), Logger: logger, LogBudget: s.Log.Budget,
 		DroppedLogLines: out.Dropped, Room: room.Config{Neighbours: s.Runner.Neighbours == settings.On},
 	})
 }
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -52,68 +52,6 @@
 	evictionDivisor = 16
 )
 
-// Limits are the bounds of a process.
-type Limits struct {
-	// Memory is the maximum memory in bytes of all connections with their unfinished requests and what is kept of
-	// complete ones. The latter takes half of it at most, so that it does not keep ordinary callers out.
-	Memory int64
-	// Connections holds the maximum number of connections of each gate.
-	Connections [gateCount]int
-}
-
-const (
-	// memoryDivisor is the part of the memory of the process that input may use. An idle gateway takes 25 MB, and the
-	// garbage collector doubles what is in use.
-	memoryDivisor = 3
-	// defaultMemory applies if the memory of the process is unknown, in bytes.
-	defaultMemory = 256 << 20
-	// defaultFiles applies if a process has no limits, as in tests.
-	defaultFiles = 1 << 16
-	// reservedFiles is the number of descriptors that the platform reserves for files, and reservedDivisor the part of
-	// all descriptors that is taken as reserved if they are few.
-	reservedFiles   = 200
-	reservedDivisor = 4
-	// maxProbes bounds the connections of the gates that answer health checks and metrics, and maxReports those of the
-	// gate that serves one worker.
-	maxProbes  = 64
-	maxReports = 256
-)
-
-// NewLimits returns the limits of a process with the given memory in MB and number of descriptors. With no known memory
-// the limit of a large machine applies.
-func NewLimits(memory, files int) Limits {
-	sockets := files - min(reservedFiles, files/reservedDivisor)
-	l := Limits{Memory: int64(memory) << 20 / memoryDivisor}
-	if memory == 0 {
-		l.Memory = defaultMemory
-	}
-	// The rest is for links to other gateways, and for calls of the store and the worker.
-	l.Connections = [gateCount]int{
-		Callers: sockets * 5 / 8, Links: sockets / 4, Reports: min(maxReports, sockets/4),
-		Ready: min(maxProbes, sockets/32), Metrics: min(maxProbes, sockets/32),
-	}
-	for i := range l.Connections {
-		l.Connections[i] = max(l.Connections[i], 1)
-	}
-	if memory > 0 {
-		// No process has both links and reports, so most of what is reserved is never used.
-		l.Memory += min(l.reserved()*3/4, l.Memory/2)
-	}
-	return l
-}
-
-// reserved returns the memory in bytes that is kept free for the connections of all gates but that of callers. It is half
-// of the memory at most.
-func (l Limits) reserved() int64 {
-	n := int64(0)
-	for g, bound := range l.Connections {
-		if Gate(g) != Callers {
-			n += int64(bound) * baseCost
-		}
-	}
-	return min(n, l.Memory/2)
-}
-
 // The states of a connection.
 const (
 	// stateReading is set while no request is complete. The connection may be closed to free what it uses.
--- a/proof/hostile/harness_test.go
+++ b/proof/hostile/harness_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -31,17 +30,20 @@
 )
 
 const (
-	// memoryMB is the memory setting of the processes and the bound of their resident memory. An idle gateway takes 25 MB.
+	// memoryMB is the memory setting of the processes and the bound of their memory. An idle gateway takes 25 MB.
 	memoryMB = 96
-	// files is the limit of open descriptors of the processes, and maxOpen the bound of those that a crowd may take, which
-	// leaves a hundred for links, the store and the worker.
-	files   = 600
-	maxOpen = 500
+	// files is the limit of open descriptors of the processes. spareFiles of them must be left for links, the store and the
+	// worker.
+	files      = 600
+	spareFiles = 100
+	// smallestMemoryMB and smallestFiles are the limits of the smallest gateways of the deployments.
+	smallestMemoryMB = 144
+	smallestFiles    = 3075
 	// maxBody is the published limit of a body, and maxHead that of a head, in bytes.
 	maxBody = 262_144
 	maxHead = 16_384
-	// sendTimeout bounds the time in which a hostile client sends what it sends. The process may have stopped reading.
-	sendTimeout = 10 * time.Second
+	// usualSendTimeout is system.sendTimeout unless a test changes it.
+	usualSendTimeout = 10 * time.Second
 	// waitTimeout is far above what any step needs on a busy machine.
 	waitTimeout = 40 * time.Second
 	host        = "shop.example"
@@ -92,6 +94,8 @@
 	name   string
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// usage is the memory that the process has used, with the bytes that wait unread on its listeners.
+	usage *usage
 }
 
 // system is a gateway and a runner as processes, beside a store and a worker in the test's own process.
@@ -102,11 +106,18 @@
 	gatewayMetrics, runnerMetrics string
 	reports                       string
 	jobs                          int
+	memoryMB, files               int
+	// sendTimeout bounds the time in which a hostile client connects, and in which it sends what it sends. The process may
+	// have stopped reading.
+	sendTimeout time.Duration
 }
 
-func newSystem(t *testing.T) *system {
+func newSystem(t *testing.T) *system { return newLimitedSystem(t, memoryMB, files) }
+
+// newLimitedSystem starts a system whose processes have the given memory in MB and number of descriptors.
+func newLimitedSystem(t *testing.T, memoryMB, files int) *system {
 	s := &system{
-		T: t, callers: freeAddress(t), ready: freeAddress(t), links: freeAddress(t), reports: freeAddress(t),
+		T: t, memoryMB: memoryMB, files: files, sendTimeout: usualSendTimeout, callers: freeAddress(t), ready: freeAddress(t), links: freeAddress(t), reports: freeAddress(t),
 		gatewayMetrics: freeAddress(t), runnerMetrics: freeAddress(t),
 	}
 	store := fleet.NewStore()
@@ -119,9 +130,9 @@
 	workerAddress := s.serve(w.Handler())
 	common := fmt.Sprintf("[place]\nregion = here\ndomain = d0\n[store]\naddress = %s\n[process]\nmemory = %d\n", storeAddress, memoryMB)
 	s.gateway = s.start("gateway", common+fmt.Sprintf("[gateway]\nname = g0\ncallers = %s\nready = %s\nlinks = %s\nmetrics = %s\nseeds = %s\n",
-		s.callers, s.ready, s.links, s.gatewayMetrics, s.links))
+		s.callers, s.ready, s.links, s.gatewayMetrics, s.links), s.callers, s.ready, s.links, s.gatewayMetrics)
 	s.runner = s.start("runner", common+fmt.Sprintf("[runner]\nname = r0\nworker = %s\nreports = %s\nmetrics = %s\nseeds = %s\n",
-		workerAddress, s.reports, s.runnerMetrics, s.links))
+		workerAddress, s.reports, s.runnerMetrics, s.links), s.reports, s.runnerMetrics)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if err := s.submit(); err != nil {
 			return poll.Continue("%v", err)
@@ -138,15 +149,16 @@
 	return server.Listener.Addr().String()
 }
 
-// start starts a daemon with a limit of open descriptors. It is killed at the end of the test.
-func (s *system) start(role, settings string) *process {
+// start starts a daemon that listens on the given addresses, with a limit of open descriptors. It is killed at the end of
+// the test.
+func (s *system) start(role, settings string, listeners ...string) *process {
 	s.Helper()
 	dir := s.TempDir()
 	file := filepath.Join(dir, "settings.ini")
 	assert.NilError(s, os.WriteFile(file, []byte(settings), 0o600))
 	log, err := os.Create(filepath.Join(dir, "log"))
 	assert.NilError(s, err)
-	limited := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, files)
+	limited := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, s.files)
 	p := &process{name: role, cmd: exec.Command("sh", "-c", limited, program, role, "--settings", file), exited: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -156,7 +168,9 @@
 		_ = p.cmd.Wait()
 		_ = log.Close()
 	}()
+	p.usage = newUsage(p.cmd.Process.Pid, listeners)
 	s.Cleanup(func() {
+		p.usage.stop()
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 		if b, err := os.ReadFile(log.Name()); err == nil && s.Failed() {
@@ -202,8 +216,8 @@
 func (s *system) check() {
 	s.Helper()
 	for _, p := range []*process{s.gateway, s.runner} {
-		s.Logf("%s: %d MB at its peak, %d descriptors open", p.name, p.peakMB(s.T), p.open(s.T))
-		assert.Check(s, p.open(s.T) <= maxOpen, "%s has %d descriptors open", p.name, p.open(s.T))
+		s.Logf("%s: %d MB at its peak, %s, %d descriptors open", p.name, p.peakMB(s.T), p.usage, p.open(s.T))
+		assert.Check(s, p.open(s.T) <= s.files-spareFiles, "%s has %d descriptors open", p.name, p.open(s.T))
 	}
 	var err error
 	for range 5 {
@@ -219,7 +233,8 @@
 		case <-p.exited:
 			s.Errorf("%s has ended", p.name)
 		default:
-			assert.Check(s, p.peakMB(s.T) <= memoryMB, "%s has used %d MB", p.name, p.peakMB(s.T))
+			assert.Check(s, p.peakMB(s.T) <= s.memoryMB, "%s has used %d MB", p.name, p.peakMB(s.T))
+			assert.Check(s, p.usage.mostMB() <= int64(s.memoryMB), "%s has used %s", p.name, p.usage)
 		}
 	}
 }
@@ -258,11 +273,11 @@
 	sent := 0
 	for i := range n {
 		wg.Go(func() {
-			conn, err := net.DialTimeout("tcp", addresses[i%len(addresses)], sendTimeout)
+			conn, err := net.DialTimeout("tcp", addresses[i%len(addresses)], s.sendTimeout)
 			if err != nil {
 				return
 			}
-			_ = conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+			_ = conn.SetWriteDeadline(time.Now().Add(s.sendTimeout))
 			err = send(conn, i)
 			mu.Lock()
 			defer mu.Unlock()
@@ -294,16 +309,35 @@
 	return body + strings.Repeat(" ", size-len(body)-1) + "}"
 }
 
+// sendPieces sends a head, and a body in pieces of 16 KiB with pauses between them.
+func sendPieces(w io.Writer, head, body string) error {
+	if _, err := io.WriteString(w, head); err != nil {
+		return err
+	}
+	for at := 0; at < len(body); at += 16 << 10 {
+		if _, err := io.WriteString(w, body[at:min(at+16<<10, len(body))]); err != nil {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil
+}
+
 // sendChunks sends a body in chunks of the given size.
 func sendChunks(w io.Writer, body string, size int) error {
-	var b bytes.Buffer
+	_, err := io.WriteString(w, inChunks(body, size))
+	return err
+}
+
+// inChunks returns a body in chunks of the given size, without the last chunk.
+func inChunks(body string, size int) string {
+	var b strings.Builder
 	for len(body) > 0 {
 		n := min(size, len(body))
 		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, body[:n])
 		body = body[n:]
 	}
-	_, err := w.Write(b.Bytes())
-	return err
+	return b.String()
 }
 
 // exchange sends the parts of one request with pauses between them, and returns an error unless its job completes.
--- a/proof/hostile/hostile_test.go
+++ b/proof/hostile/hostile_test.go
@@ -16,6 +16,12 @@
 // contentLength is the header line of the largest legal body.
 var contentLength = fmt.Sprintf("Content-Length: %d\r\n", maxBody)
 
+// listenerCrowd is the number of clients of the listeners that do not serve callers.
+const listenerCrowd = 900
+
+// chunked is the header line of a body in chunks.
+const chunked = "Transfer-Encoding: chunked\r\n"
+
 // Guards against a process that runs out of memory because clients send large legal bodies at once, all but their end.
 func TestLargeBodiesWithoutEnd(t *testing.T) {
 	s := newSystem(t)
@@ -32,16 +38,7 @@
 	s := newSystem(t)
 	body := pad(maxBody)[:maxBody-200]
 	s.crowd(400, func(w io.Writer, i int) error {
-		if _, err := io.WriteString(w, head(i, contentLength)); err != nil {
-			return err
-		}
-		for at := 0; at < len(body); at += 16 << 10 {
-			if _, err := io.WriteString(w, body[at:min(at+16<<10, len(body))]); err != nil {
-				return err
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-		return nil
+		return sendPieces(w, head(i, contentLength), body)
 	}, s.callers)
 	s.check()
 }
@@ -51,7 +48,7 @@
 	s := newSystem(t)
 	body := pad(maxBody)[:maxBody-200]
 	s.crowd(400, func(w io.Writer, i int) error {
-		if _, err := io.WriteString(w, head(i, "Transfer-Encoding: chunked\r\n")); err != nil {
+		if _, err := io.WriteString(w, head(i, chunked)); err != nil {
 			return err
 		}
 		return sendChunks(w, body, 32<<10)
@@ -64,7 +61,7 @@
 	s := newSystem(t)
 	body := pad(maxBody)[:maxBody-200]
 	s.crowd(300, func(w io.Writer, i int) error {
-		if _, err := io.WriteString(w, head(i, "Transfer-Encoding: chunked\r\n")); err != nil {
+		if _, err := io.WriteString(w, head(i, chunked)); err != nil {
 			return err
 		}
 		return sendChunks(w, body, 32)
@@ -97,7 +94,7 @@
 	s.crowd(300, func(_ io.Writer, i int) error {
 		text := head(i, "Connection: close\r\n", fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body
 		for range 20 {
-			conn, err := net.DialTimeout("tcp", s.callers, sendTimeout)
+			conn, err := net.DialTimeout("tcp", s.callers, s.sendTimeout)
 			if err != nil {
 				continue
 			}
@@ -189,7 +186,7 @@
 func TestMoreConnectionsThanDescriptors(t *testing.T) {
 	s := newSystem(t)
 	s.crowd(900, func(w io.Writer, i int) error {
-		parts := []string{"", "POST /", head(i, contentLength), head(i, "Transfer-Encoding: chunked\r\n") + "1\r\n{\r\n"}
+		parts := []string{"", "POST /", head(i, contentLength), head(i, chunked) + "1\r\n{\r\n"}
 		_, err := io.WriteString(w, parts[i%len(parts)])
 		return err
 	}, s.callers)
@@ -199,14 +196,14 @@
 // Guards against the same on the listeners for health checks, links and metrics, which answer few clients.
 func TestOtherListenersOfGateway(t *testing.T) {
 	s := newSystem(t)
-	s.attackListeners(s.ready, s.links, s.gatewayMetrics)
+	s.attackListeners(listenerCrowd, s.ready, s.links, s.gatewayMetrics)
 	s.check()
 }
 
 // Guards against the same on the listeners of a runner.
 func TestListenersOfRunner(t *testing.T) {
 	s := newSystem(t)
-	s.attackListeners(s.reports, s.runnerMetrics)
+	s.attackListeners(listenerCrowd, s.reports, s.runnerMetrics)
 	s.check()
 }
 
@@ -232,10 +229,10 @@
 
 // attackListeners sends heads without end, heartbeats and other bodies without end, and connections on which nothing is
 // sent.
-func (s *system) attackListeners(addresses ...string) {
+func (s *system) attackListeners(n int, addresses ...string) {
 	line := strings.Repeat("x", 900_000)
 	body := pad(maxBody)[:maxBody-200]
-	s.crowd(900, func(w io.Writer, i int) error {
+	s.crowd(n, func(w io.Writer, i int) error {
 		start := ""
 		switch i % 12 / len(addresses) {
 		case 0:
@@ -268,5 +265,5 @@
 	t.Log("chunked, with a pause before the end")
 	b := &strings.Builder{}
 	assert.NilError(t, sendChunks(b, pad(maxBody), 16))
-	assert.Check(t, s.exchange(2*time.Second, head(3, "Transfer-Encoding: chunked\r\n"), b.String(), "0\r\n\r\n"))
+	assert.Check(t, s.exchange(2*time.Second, head(3, chunked), b.String(), "0\r\n\r\n"))
 }
--- a/settings/field.go
+++ b/settings/field.go
@@ -88,7 +88,7 @@
 		{"store", "address", addressValue{&s.Store.Address}, "", "address of the platform's store", gatewayAndRunner},
 		{"store", "timeout", durationValue{&s.Store.Timeout, 100, 10 * clock.Second}, "ms", "timeout of each call to the store", nil},
 
-		{"process", "memory", intValue{&s.Process.Memory, 0, 1 << 24}, "MB", "memory that the process may use; 0 means unknown", nil},
+		{"process", "memory", intValue{&s.Process.Memory, 0, 1 << 24}, "MB", "memory that the process may use, unread bytes of connections included; 0 means unknown", nil},
 		{"process", "files", intValue{&s.Process.Files, 0, 1 << 24}, "", "descriptors that the process may have open, 200 of which are kept free; 0 selects the limit that the process was started with", nil},
 
 		{"platform", "address", addressValue{&s.Platform.Address}, "", "address of the platform's log service", entry},
