Bound the connections that wait to be accepted

Callers saw: a gateway or runner whose machine is suspended for some seconds, or that gets little processor time, is ended for its memory while a crowd connects and sends bodies.

Cause: package net asks the kernel for the longest queue of connections that are not accepted yet, 4,096 on Linux, for each listener. Each of them takes bytes up to its receive buffer, and the process cannot close them.

Evidence: TestConnectionsWhileSuspended (5,000 clients with bodies of 64 KiB, 96 MB and 600 descriptors), nothing else running. On the callers' listener alone brought a gateway to 289 and 290 MB, all listeners 333 MB, those of a runner 337 MB.

Change: intake.Listen bounds the queue to a quarter of the connections of the listener, 449 callers on the smallest gateway, which has some 20 new connections a second. Clients beyond that are not answered by the kernel and try again a second later. The queues share the fifth of the memory that receive buffers may have.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -28,7 +28,8 @@
 
 func startGateway(s settings.Settings, logger zerolog.Logger, out *telemetry.Writer) (stopper, error) {
 	limits := inputLimits(s)
-	listeners, err := listenAll(limits, s.Gateway.Callers, s.Gateway.Ready, s.Gateway.Links, s.Gateway.Metrics)
+	listeners, err := listenAll(limits, endpoint{intake.Callers, s.Gateway.Callers}, endpoint{intake.Ready, s.Gateway.Ready},
+		endpoint{intake.Links, s.Gateway.Links}, endpoint{intake.Metrics, s.Gateway.Metrics})
 	if err != nil {
 		return nil, err
 	}
@@ -51,14 +52,20 @@
 	})
 }
 
-// listenAll opens a TCP listener for each address, with bounded receive buffers. The listener of an empty address is nil.
-func listenAll(limits intake.Limits, addresses ...string) ([]net.Listener, error) {
-	listeners := make([]net.Listener, len(addresses))
-	for i, address := range addresses {
-		if address == "" {
+// endpoint is the address of a gate.
+type endpoint struct {
+	gate    intake.Gate
+	address string
+}
+
+// listenAll opens the TCP listener of each endpoint. The listener of an empty address is nil.
+func listenAll(limits intake.Limits, endpoints ...endpoint) ([]net.Listener, error) {
+	listeners := make([]net.Listener, len(endpoints))
+	for i, e := range endpoints {
+		if e.address == "" {
 			continue
 		}
-		l, err := intake.Listen(limits, address)
+		l, err := intake.Listen(limits, e.gate, e.address)
 		if err != nil {
 			for _, open := range listeners[:i] {
 				if open != nil {
--- a/command/runner.go
+++ b/command/runner.go
@@ -5,6 +5,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lavendercourse/lavendercourse/clock"
+	"github.com/lavendercourse/lavendercourse/intake"
 	"github.com/lavendercourse/lavendercourse/platform"
 	"github.com/lavendercourse/lavendercourse/room"
 	"github.com/lavendercourse/lavendercourse/runner"
@@ -25,7 +26,7 @@
 
 func startRunner(s settings.Settings, logger zerolog.Logger, out *telemetry.Writer) (stopper, error) {
 	limits := inputLimits(s)
-	listeners, err := listenAll(limits, s.Runner.Reports, s.Runner.Metrics)
+	listeners, err := listenAll(limits, endpoint{intake.Reports, s.Runner.Reports}, endpoint{intake.Metrics, s.Runner.Metrics})
 	if err != nil {
 		return nil, err
 	}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -7,6 +7,8 @@
 	Memory int64
 	// Connections holds the maximum number of connections of each gate.
 	Connections [gateCount]int
+	// Backlog holds the maximum number of connections of each gate that wait to be accepted. 0 leaves it to the kernel.
+	Backlog [gateCount]int
 	// ReceiveBuffer is the maximum memory in bytes that the unread bytes of a connection take in the kernel. 0 means no
 	// bound.
 	ReceiveBuffer int
@@ -28,6 +30,9 @@
 	// gate that serves one worker.
 	maxProbes  = 64
 	maxReports = 256
+	// backlogDivisor is the part of the connections of a gate that may wait to be accepted. Gateways get some 20 new
+	// connections a second, so that hundreds bridge many seconds in which a process does not run.
+	backlogDivisor = 4
 	// receiveDivisor is the part of the memory of the process that unread bytes may take. The platform counts them as memory
 	// of the process.
 	receiveDivisor = 5
@@ -61,25 +66,34 @@
 	return l
 }
 
-// shareReceiveMemory divides n bytes among the receive buffers of all connections. If there are too many for buffers of
-// minReceiveBuffer, it lowers their numbers.
+// shareReceiveMemory divides n bytes among the receive buffers of all connections, accepted or waiting. If there are too
+// many for buffers of minReceiveBuffer, it lowers their numbers.
 func (l *Limits) shareReceiveMemory(n int) {
-	// No process has both links and reports, and there are fewer reports.
-	sum := l.connections() - l.Connections[Reports]
-	if most := n / minReceiveBuffer; sum > most {
-		for g := range l.Connections {
-			l.Connections[g] = max(l.Connections[g]*most/sum, 1)
+	l.setBacklog()
+	// Each gate keeps a connection and a place in its queue, however small its part is.
+	if sum, most := l.sockets(), n/minReceiveBuffer-2*int(gateCount); sum > most {
+		for g, bound := range l.Connections {
+			l.Connections[g] = max(bound*most/sum, 1)
 		}
-		sum = most
+		l.setBacklog()
 	}
-	l.ReceiveBuffer = min(max(n/max(sum, 1), minReceiveBuffer), maxReceiveBuffer)
+	l.ReceiveBuffer = min(max(n/l.sockets(), minReceiveBuffer), maxReceiveBuffer)
 }
 
-// connections returns the maximum number of connections of all gates.
-func (l *Limits) connections() int {
+func (l *Limits) setBacklog() {
+	for g, bound := range l.Connections {
+		l.Backlog[g] = max(bound/backlogDivisor, 1)
+	}
+}
+
+// sockets returns the maximum number of connections of all gates, accepted or waiting. No process has both links and
+// reports, and there are fewer reports.
+func (l *Limits) sockets() int {
 	sum := 0
-	for _, n := range l.Connections {
-		sum += n
+	for g := range l.Connections {
+		if Gate(g) != Reports {
+			sum += l.Connections[g] + l.Backlog[g]
+		}
 	}
 	return sum
 }
--- a/intake/limits_test.go
+++ b/intake/limits_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -14,8 +15,8 @@
 // maxUnreadPart is the part of the memory of a process that unread bytes may take, as documented.
 const maxUnreadPart = 5
 
-// Guards against receive buffers that together exceed the memory of the machine, and against ones that are too small for
-// an ordinary request.
+// Guards against receive buffers of accepted and waiting connections that together exceed the memory of the
+// machine, and against ones that are too small for an ordinary request.
 func TestReceiveBuffersFitIntoMemory(t *testing.T) {
 	for _, c := range []struct{ memory, files int }{
 		{144, 3075}, {184, 4100}, {284, 4100}, {424, 10250}, {536, 8192}, {152, 4096}, {96, 600}, {96, 3075}, {32, 1 << 20},
@@ -24,8 +25,8 @@
 			l := intake.NewLimits(c.memory, c.files)
 			sum := 0
 			for _, gate := range []intake.Gate{intake.Callers, intake.Links, intake.Ready, intake.Metrics} {
-				assert.Assert(t, l.Connections[gate] > 0)
-				sum += l.Connections[gate]
+				assert.Assert(t, l.Connections[gate] > 0 && l.Backlog[gate] > 0)
+				sum += l.Connections[gate] + l.Backlog[gate]
 			}
 			assert.Assert(t, sum*l.ReceiveBuffer <= c.memory<<20/maxUnreadPart, "%d connections of %d bytes", sum, l.ReceiveBuffer)
 			assert.Assert(t, l.ReceiveBuffer >= 8<<10)
@@ -36,7 +37,7 @@
 // Guards against accepted connections whose receive buffers the kernel enlarges as bytes arrive.
 func TestListenBoundsReceiveBuffers(t *testing.T) {
 	for _, size := range []int{8 << 10, 12 << 10} {
-		l, err := intake.Listen(intake.Limits{ReceiveBuffer: size}, "127.0.0.1:0")
+		l, err := intake.Listen(intake.Limits{ReceiveBuffer: size}, intake.Callers, "127.0.0.1:0")
 		assert.NilError(t, err)
 		defer func() { _ = l.Close() }()
 		client, err := net.Dial("tcp", l.Addr().String())
@@ -55,11 +56,33 @@
 	}
 }
 
+// Guards against connections without bound that wait to be accepted, each with unread bytes, and against a bound that a
+// single caller meets.
+func TestListenBoundsWaitingConnections(t *testing.T) {
+	limits := intake.Limits{}
+	limits.Backlog[intake.Links] = 4
+	l, err := intake.Listen(limits, intake.Links, "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	connected := 0
+	for range 12 {
+		// The kernel does not answer when the queue is full.
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			continue
+		}
+		defer func() { _ = c.Close() }()
+		connected++
+	}
+	// The kernel lets one more wait than it is told.
+	assert.Assert(t, connected > 0 && connected <= limits.Backlog[intake.Links]+1, "%d connections wait", connected)
+}
+
 // Guards against an address in use that is reported as anything else than an error.
 func TestListenFails(t *testing.T) {
-	l, err := intake.Listen(intake.Limits{}, "127.0.0.1:0")
+	l, err := intake.Listen(intake.Limits{}, intake.Callers, "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
-	_, err = intake.Listen(intake.Limits{}, l.Addr().String())
+	_, err = intake.Listen(intake.Limits{}, intake.Callers, l.Addr().String())
 	assert.ErrorIs(t, err, intake.ErrListen)
 }
--- a/proof/hostile/slow_test.go
+++ b/proof/hostile/slow_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 const (
@@ -17,6 +19,11 @@
 	pauseTime = 86 * time.Millisecond
 	// slowCrowd is the number of clients of a slowed process. Their bodies take 262 MB.
 	slowCrowd = 1000
+	// suspendedCrowd is the number of clients of a suspended process, and suspendedBody the size in bytes of their bodies.
+	suspendedCrowd = 5000
+	suspendedBody  = 64 << 10
+	// suspendedTimeout is the time in which the clients of a suspended process send what it takes.
+	suspendedTimeout = 3 * time.Second
 	// smallestCrowd is the number of clients of a gateway with the limits of the smallest machines.
 	smallestCrowd = 2500
 )
@@ -144,3 +151,33 @@
 	end()
 	s.check()
 }
+
+// Guards against connections that wait to be accepted by a process whose machine is suspended for some seconds, and hold
+// more unread bytes than it has memory.
+func TestConnectionsWhileSuspended(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		process   func(*system) *process
+		listeners func(*system) []string
+	}{
+		{"callers", gatewayOf, func(s *system) []string { return []string{s.callers} }},
+		{"gateway", gatewayOf, func(s *system) []string { return []string{s.callers, s.ready, s.links, s.gatewayMetrics} }},
+		{"runner", runnerOf, func(s *system) []string { return []string{s.reports, s.runnerMetrics} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSystem(t)
+			s.sendTimeout = suspendedTimeout
+			body := pad(suspendedBody)[:suspendedBody-200]
+			assert.NilError(t, c.process(s).cmd.Process.Signal(syscall.SIGSTOP))
+			s.crowd(suspendedCrowd, func(w io.Writer, i int) error {
+				return send(w, head(i, fmt.Sprintf("Content-Length: %d\r\n", suspendedBody))+body)
+			}, c.listeners(s)...)
+			assert.NilError(t, c.process(s).cmd.Process.Signal(syscall.SIGCONT))
+			s.check()
+		})
+	}
+}
+
+func gatewayOf(s *system) *process { return s.gateway }
+
+func runnerOf(s *system) *process { return s.runner }
