Test a mixed crowd beside signals, restarts and suspensions

The tests of proof/hostile sent one shape of request at a time to a process that nothing else happened to. TestMixedCrowd sends all shapes at once, on all listeners, while gateway and runner are slowed, suspended, told to reload, and restarted, in series that overlap. It checks memory with unread bytes, descriptors, that processes neither end nor hang, that an ordinary job completes afterwards, that no refused job has run, and that no task runs twice at the same time.

--- a/proof/hostile/harness_test.go
+++ b/proof/hostile/harness_test.go
@@ -91,9 +91,11 @@
 
 // process is a started gateway or runner.
 type process struct {
-	name   string
-	cmd    *exec.Cmd
-	exited chan struct{}
+	name string
+	// settings and log are the paths of its files.
+	settings, log string
+	cmd           *exec.Cmd
+	exited        chan struct{}
 	// usage is the memory that the process has used, with the bytes that wait unread on its listeners.
 	usage *usage
 }
@@ -105,8 +107,10 @@
 	callers, ready, links         string
 	gatewayMetrics, runnerMetrics string
 	reports                       string
-	jobs                          int
-	memoryMB, files               int
+	// jobs counts the ordinary jobs.
+	jobs            atomic.Uint64
+	ledger          *fleet.Ledger
+	memoryMB, files int
 	// sendTimeout bounds the time in which a hostile client connects, and in which it sends what it sends. The process may
 	// have stopped reading.
 	sendTimeout time.Duration
@@ -124,8 +128,8 @@
 	store.Put(platform.ConfigStream, "config", fmt.Sprintf(`{"version":3,"routes":[{"name":"q","host":%q,"pathPrefix":%q,
 		"service":"press","maxAttempts":2,"slackFactor":1.6,"targetLatencyMs":60}],"services":[],"limits":{}}`, host, prefix))
 	storeAddress := s.serve(store.Handler())
-	ledger := fleet.NewLedger()
-	w := fleet.NewWorker(fleet.WorkerConfig{ID: "w-r0", Service: "press", Domain: "d0", ReportAddress: s.reports, ParsePayload: fleet.ParsePayload}, ledger)
+	s.ledger = fleet.NewLedger()
+	w := fleet.NewWorker(fleet.WorkerConfig{ID: "w-r0", Service: "press", Domain: "d0", ReportAddress: s.reports, ParsePayload: fleet.ParsePayload}, s.ledger)
 	t.Cleanup(w.Close)
 	workerAddress := s.serve(w.Handler())
 	common := fmt.Sprintf("[place]\nregion = here\ndomain = d0\n[store]\naddress = %s\n[process]\nmemory = %d\n", storeAddress, memoryMB)
@@ -154,37 +158,50 @@
 func (s *system) start(role, settings string, listeners ...string) *process {
 	s.Helper()
 	dir := s.TempDir()
-	file := filepath.Join(dir, "settings.ini")
-	assert.NilError(s, os.WriteFile(file, []byte(settings), 0o600))
-	log, err := os.Create(filepath.Join(dir, "log"))
-	assert.NilError(s, err)
-	limited := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, s.files)
-	p := &process{name: role, cmd: exec.Command("sh", "-c", limited, program, role, "--settings", file), exited: make(chan struct{})}
-	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	assert.NilError(s, p.cmd.Start())
-	go func() {
-		defer close(p.exited)
-		_ = p.cmd.Wait()
-		_ = log.Close()
-	}()
+	p := &process{name: role, settings: filepath.Join(dir, "settings.ini"), log: filepath.Join(dir, "log")}
+	assert.NilError(s, os.WriteFile(p.settings, []byte(settings), 0o600))
+	s.launch(p)
 	p.usage = newUsage(p.cmd.Process.Pid, listeners)
 	s.Cleanup(func() {
 		p.usage.stop()
 		_ = p.cmd.Process.Kill()
 		<-p.exited
-		if b, err := os.ReadFile(log.Name()); err == nil && s.Failed() {
+		if b, err := os.ReadFile(p.log); err == nil && s.Failed() {
 			s.Logf("end of the log of the %s:\n%s", role, b[max(0, len(b)-3000):])
 		}
 	})
 	return p
 }
 
+// launch starts the program of a process. Its output is added to the log.
+func (s *system) launch(p *process) {
+	s.Helper()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(s, err)
+	limited := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, s.files)
+	p.cmd, p.exited = exec.Command("sh", "-c", limited, program, p.name, "--settings", p.settings), make(chan struct{})
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	assert.NilError(s, p.cmd.Start())
+	cmd, exited := p.cmd, p.exited
+	go func() {
+		defer close(exited)
+		_ = cmd.Wait()
+		_ = log.Close()
+	}()
+}
+
+// nextJob returns the ID of another ordinary job.
+func (s *system) nextJob() string { return fmt.Sprintf("%016x", s.jobs.Add(1)) }
+
 // submit submits one ordinary job on a connection of its own and returns an error unless the job completes.
-func (s *system) submit() error {
-	s.jobs++
+func (s *system) submit() error { return s.submitJob(s.nextJob()) }
+
+// submitJob submits an ordinary job with the given ID on a connection of its own and returns an error unless the job
+// completes.
+func (s *system) submitJob(id string) error {
 	body := `{"spec":"100 1","bestEffort":true,"steps":[{"count":1,"cpu":100,"memMb":64,"estimateMs":1}]}`
-	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s%016x", s.callers, prefix, s.jobs), strings.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s%s", s.callers, prefix, id), strings.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -197,6 +214,14 @@
 	return checkCompleted(resp)
 }
 
+// answerError is returned for an answer that says anything else than that the job has completed.
+type answerError struct {
+	status  int
+	content string
+}
+
+func (e *answerError) Error() string { return fmt.Sprintf("status %d, %s", e.status, e.content) }
+
 // checkCompleted returns an error unless a response says that its job has completed.
 func checkCompleted(resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
@@ -206,7 +231,7 @@
 	}
 	var answer struct{ State string }
 	if err := json.Unmarshal(content, &answer); err != nil || answer.State != "completed" {
-		return fmt.Errorf("status %d, %s", resp.StatusCode, content)
+		return &answerError{resp.StatusCode, string(content)}
 	}
 	return nil
 }
--- a/proof/hostile/hostile_test.go
+++ b/proof/hostile/hostile_test.go
@@ -19,6 +19,13 @@
 // listenerCrowd is the number of clients of the listeners that do not serve callers.
 const listenerCrowd = 900
 
+// upgrade is the request that opens a link.
+const upgrade = "GET " + link.Path + " HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
+	"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+
+// largeFrame is a masked binary frame of 4 MiB, the largest that a link accepts, without its end.
+var largeFrame = "\x82\xff\x00\x00\x00\x00\x00\x3f\xff\xff\x00\x00\x00\x00" + strings.Repeat("x", 4<<20-2000)
+
 // chunked is the header line of a body in chunks.
 const chunked = "Transfer-Encoding: chunked\r\n"
 
@@ -211,17 +218,13 @@
 // which process they are, and that stop short of the end of the frame.
 func TestLargeFramesOnLinks(t *testing.T) {
 	s := newSystem(t)
-	// A masked binary frame of 4 MiB, the largest that a link accepts.
-	frame := "\x82\xff\x00\x00\x00\x00\x00\x3f\xff\xff\x00\x00\x00\x00" + strings.Repeat("x", 4<<20-2000)
-	upgrade := "GET " + link.Path + " HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" +
-		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
 	s.crowd(100, func(w io.Writer, _ int) error {
 		if _, err := io.WriteString(w, upgrade); err != nil {
 			return err
 		}
 		// Frames that arrive before the answer to the upgrade are refused.
 		time.Sleep(500 * time.Millisecond)
-		_, err := io.WriteString(w, frame)
+		_, err := io.WriteString(w, largeFrame)
 		return err
 	}, s.links)
 	s.check()
--- a/proof/hostile/usage_test.go
+++ b/proof/hostile/usage_test.go
@@ -16,20 +16,20 @@
 // usage samples the memory that the platform charges a process for: its resident memory and the bytes that connections to
 // its listeners hold unread, accepted or not.
 type usage struct {
-	statm string
 	// ports holds the ports of the listeners as /proc/net/tcp prints them.
 	ports   map[string]bool
 	end     chan struct{}
 	stopped sync.WaitGroup
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	statm string
 	// most is the largest sum of a sample in bytes, and unread the largest number of unread bytes.
 	most, unread int64
 }
 
 // newUsage returns a usage that samples until it is stopped.
 func newUsage(pid int, listeners []string) *usage {
-	u := &usage{statm: fmt.Sprintf("/proc/%d/statm", pid), ports: map[string]bool{}, end: make(chan struct{})}
+	u := &usage{statm: statm(pid), ports: map[string]bool{}, end: make(chan struct{})}
 	for _, address := range listeners {
 		if _, port, err := net.SplitHostPort(address); err == nil {
 			n, _ := strconv.Atoi(port)
@@ -51,12 +51,24 @@
 	return u
 }
 
+// statm returns the path of the file that gives the memory of a process in pages.
+func statm(pid int) string { return fmt.Sprintf("/proc/%d/statm", pid) }
+
 func (u *usage) stop() {
 	close(u.end)
 	u.stopped.Wait()
 }
 
+// follow makes the next samples those of another process on the same listeners.
+func (u *usage) follow(pid int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.statm = statm(pid)
+}
+
 func (u *usage) sample() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	b, err := os.ReadFile(u.statm)
 	fields := strings.Fields(string(b))
 	if err != nil || len(fields) < 2 {
@@ -64,8 +76,6 @@
 	}
 	pages, _ := strconv.ParseInt(fields[1], 10, 64)
 	unread := u.countUnread()
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.unread = max(u.unread, unread)
 	u.most = max(u.most, pages*int64(os.Getpagesize())+unread)
 }
