Test single legal requests with the smallest receive buffers too

Receive buffers have 16 KiB with the limits of TestSingleLegalRequests, and 8 KiB on machines with many descriptors for their memory. A slow request, one of the largest size and one in small chunks are now sent to both.

--- a/proof/hostile/hostile_test.go
+++ b/proof/hostile/hostile_test.go
@@ -249,24 +249,26 @@
 }
 
 // Guards against bounds that also hit a single client inside the published limits: one that is slow, and one whose head
-// and body are as large as they may be.
+// and body are as large as they may be. With many descriptors for its memory a process has the smallest receive buffers.
 func TestSingleLegalRequests(t *testing.T) {
-	s := newSystem(t)
-	t.Log("slow")
-	body := pad(1000)
-	parts := []string{}
-	for h := head(1, "Content-Length: 1000\r\n"); h != ""; h = h[min(40, len(h)):] {
-		parts = append(parts, h[:min(40, len(h))])
-	}
-	for i := range 40 {
-		parts = append(parts, body[25*i:25*i+25])
+	for _, c := range []struct{ memoryMB, files int }{{memoryMB, files}, {memoryMB, smallestFiles}} {
+		t.Run(fmt.Sprintf("%d MB, %d descriptors", c.memoryMB, c.files), func(t *testing.T) {
+			s := newLimitedSystem(t, c.memoryMB, c.files)
+			t.Log("slow")
+			body := pad(1000)
+			parts := []string{}
+			for h := head(1, "Content-Length: 1000\r\n"); h != ""; h = h[min(40, len(h)):] {
+				parts = append(parts, h[:min(40, len(h))])
+			}
+			for i := range 40 {
+				parts = append(parts, body[25*i:25*i+25])
+			}
+			assert.Check(t, s.exchange(100*time.Millisecond, parts...))
+			t.Log("large")
+			lines := append(manyShortLines(maxHead-400), contentLength)
+			assert.Check(t, s.exchange(time.Second, head(2, lines...), pad(maxBody)))
+			t.Log("chunked, with a pause before the end")
+			assert.Check(t, s.exchange(2*time.Second, head(3, chunked), inChunks(pad(maxBody), 16), "0\r\n\r\n"))
+		})
 	}
-	assert.Check(t, s.exchange(100*time.Millisecond, parts...))
-	t.Log("large")
-	lines := append(manyShortLines(maxHead-400), contentLength)
-	assert.Check(t, s.exchange(time.Second, head(2, lines...), pad(maxBody)))
-	t.Log("chunked, with a pause before the end")
-	b := &strings.Builder{}
-	assert.NilError(t, sendChunks(b, pad(maxBody), 16))
-	assert.Check(t, s.exchange(2*time.Second, head(3, chunked), b.String(), "0\r\n\r\n"))
 }
