Give the processes of the soak the limits of the smallest machines

The soak wrote settings without [process] memory, so its processes ran with the bounds of unknown memory: receive buffers, queues and the limit of the garbage collector were never those of a deployment. They have 144 MB and 3,075 descriptors now, as the smallest gateways.

--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -198,9 +198,13 @@
 	return s, nil
 }
 
+// limits are the limits of the smallest gateways of the users, in the settings of a process. They decide the size of
+// receive buffers.
+const limits = "[process]\nmemory = 144\nfiles = 3075\n"
+
 func (s *site) startProcess(to *[]*process, name, role, settings string) error {
 	file := filepath.Join(s.cfg.Dir, name+".ini")
-	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(settings+limits), 0o600); err != nil {
 		return err
 	}
 	p := &process{name: name, args: []string{s.cfg.Program, role, "--settings", file}, log: filepath.Join(s.cfg.Dir, name+".log")}
