Let clients of the mixed crowd trickle on open connections

Clients that leave a connection open fell silent, and so looked alike when a gateway chooses which connection to close. Half of them go on sending a byte each 300 ms until the connection is closed.

--- a/proof/hostile/harness_test.go
+++ b/proof/hostile/harness_test.go
@@ -121,7 +121,8 @@
 // newLimitedSystem starts a system whose processes have the given memory in MB and number of descriptors.
 func newLimitedSystem(t *testing.T, memoryMB, files int) *system {
 	s := &system{
-		T: t, memoryMB: memoryMB, files: files, sendTimeout: usualSendTimeout, callers: freeAddress(t), ready: freeAddress(t), links: freeAddress(t), reports: freeAddress(t),
+		T: t, memoryMB: memoryMB, files: files, sendTimeout: usualSendTimeout,
+		callers: freeAddress(t), ready: freeAddress(t), links: freeAddress(t), reports: freeAddress(t),
 		gatewayMetrics: freeAddress(t), runnerMetrics: freeAddress(t),
 	}
 	store := fleet.NewStore()
--- a/proof/hostile/mix_test.go
+++ b/proof/hostile/mix_test.go
@@ -26,6 +26,8 @@
 const (
 	// ordinaryCallers is the number of callers that submit ordinary jobs beside the mixed crowd.
 	ordinaryCallers = 4
+	// tricklePeriod is the time between two bytes of a client that goes on sending on an open connection.
+	tricklePeriod = 300 * time.Millisecond
 	// resendDelay is the time after which the users' clients send a job again that got no answer.
 	resendDelay = 1300 * time.Millisecond
 )
@@ -112,7 +114,7 @@
 	}
 }
 
-// attack is a client of the crowd. It sends on one connection after the other, and leaves some of them open.
+// attack is a client of the crowd. It sends on one connection after the other until it leaves one of them open.
 func (m *mix) attack(i int) {
 	r := m.random(i)
 	others := []string{m.ready, m.links, m.gatewayMetrics, m.reports, m.runnerMetrics}
@@ -127,11 +129,8 @@
 		}
 		_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
 		err = m.shapes[r.IntN(len(m.shapes))](conn, i)
-		if stays := err == nil && r.IntN(3) == 0; stays {
-			m.mu.Lock()
-			m.open = append(m.open, conn)
-			m.mu.Unlock()
-			m.wait(*span)
+		if err == nil && r.IntN(3) == 0 {
+			m.stay(conn, i%2 == 0)
 			return
 		}
 		m.wait(time.Duration(r.IntN(1000)) * time.Millisecond)
@@ -139,6 +138,19 @@
 	}
 }
 
+// stay leaves a connection open until the end of the test. A client that trickles goes on sending a little on it.
+func (m *mix) stay(conn net.Conn, trickles bool) {
+	m.mu.Lock()
+	m.open = append(m.open, conn)
+	m.mu.Unlock()
+	for trickles && m.wait(tricklePeriod) {
+		_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+		if send(conn, "x") != nil {
+			return
+		}
+	}
+}
+
 func (m *mix) closeAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
