Show that a job behind a partition runs twice at the same time

Cause: a gateway takes a submission for one that may be old for 300 ms after a gap only. TCP sends what a partition has held up again after a time that doubles, so it arrives up to as long after the partition as that lasted. The caller has submitted the job elsewhere by then, and the end of its connection arrives a round trip after the submission.

--- /dev/null
+++ b/review/rig3/site.go
@@ -0,0 +1,316 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lavendercourse/lavendercourse/standin/fleet"
+)
+
+// The names of the route and of the service.
+const (
+	service = "press"
+	host    = "shop.example"
+	prefix  = "/proofs/"
+	// resendDelay is the time after which clients send a job again that got no answer (resendMs).
+	resendDelay = 1300 * time.Millisecond
+	// ordinaryDeadline is how long ordinary clients wait for an answer: the time limit of the kinds of request in the users' sheets.
+	ordinaryDeadline = 1500 * time.Millisecond
+	// shortJob is an ordinary job.
+	shortJob = `{"spec":"60","bestEffort":true,"steps":[{"count":2,"cpu":3100,"memMb":64,"estimateMs":60}]}`
+)
+
+// process is a gateway or runner.
+type process struct {
+	name string
+	args []string
+	log  string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	cmd, exited := exec.Command(p.args[0], p.args[1:]...), make(chan struct{})
+	cmd.Stdout, cmd.Stderr = out, out
+	// A process must not outlive this program, however it ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd, p.exited = cmd, exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// alive reports whether the process has not exited.
+func (p *process) alive() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) signal(s syscall.Signal) {
+	if p.alive() {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// site is a small deployment: gateways, and runners with a worker each.
+type site struct {
+	rec      *record
+	dir      string
+	store    *fleet.Store
+	servers  []*http.Server
+	gateways []*process
+	runners  []*process
+	workers  []*worker
+	// callers, ready and links hold the addresses of each gateway.
+	callers, ready, links []string
+	// network is that of the last gateway, if it may be cut off.
+	network *network
+}
+
+// siteConfig describes a site.
+type siteConfig struct {
+	gateways, runners int
+	// cuts is set if the last of two gateways may be cut off.
+	cuts bool
+	// labels returns the labels of a worker: its kind and its rack. If it is nil, all workers are of one kind.
+	labels func(i int) []string
+}
+
+// loopback returns an address of the loopback range that depends on this process.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>14%200, pid>>7%128, 1+pid%128)
+}
+
+// reservePorts returns n free addresses, which are released at once.
+func reservePorts(n int) ([]string, error) {
+	var all []string
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", loopback()+":0")
+		if err != nil {
+			return nil, err
+		}
+		open = append(open, l)
+		all = append(all, l.Addr().String())
+	}
+	return all, nil
+}
+
+func rackOf(i int) string { return fmt.Sprintf("r1-%d", i) }
+
+func labelsOf(i int) []string { return []string{"a", rackOf(i)} }
+
+// newSite starts a site whose processes run the given program.
+func newSite(program, dir string, rec *record, cfg siteConfig) (*site, error) {
+	s := &site{rec: rec, dir: dir, store: fleet.NewStore()}
+	if cfg.labels == nil {
+		cfg.labels = labelsOf
+	}
+	l, err := net.Listen("tcp", loopback()+":0")
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: s.store.Handler()}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	s.store.Put("keyed.op", "config", fmt.Sprintf(`{"version":7,"routes":[{"name":"q","host":%q,"pathPrefix":%q,"kind":"non_idempotent",`+
+		`"timeoutMs":1500,"targetLatencyMs":60,"priority":0,"service":%q,"maxAttempts":2,"slackFactor":1.6}],"services":[{"name":%q,`+
+		`"healthPath":"/healthz","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"standby":false}],`+
+		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, host, prefix, service, service))
+	ports, err := reservePorts(3*cfg.gateways + cfg.runners)
+	if err != nil {
+		return nil, err
+	}
+	for i := range cfg.gateways {
+		s.callers, s.ready, s.links = append(s.callers, ports[3*i]), append(s.ready, ports[3*i+1]), append(s.links, ports[3*i+2])
+	}
+	reports := ports[3*cfg.gateways:]
+	for i := range cfg.runners {
+		w, err := newWorker(fmt.Sprintf("i-%08x", 0xa0+i), loopback()+":0", reports[i], zone(i), cfg.labels(i), rec)
+		if err != nil {
+			return nil, err
+		}
+		s.workers = append(s.workers, w)
+	}
+	callers, ready, links := slices.Clone(s.callers), slices.Clone(s.ready), slices.Clone(s.links)
+	stores := make([]string, cfg.gateways)
+	for i := range stores {
+		stores[i] = l.Addr().String()
+	}
+	if cfg.cuts {
+		if err := s.addLinks(stores); err != nil {
+			return nil, err
+		}
+	}
+	seeds := strings.Join(s.links, ",")
+	for i := range cfg.gateways {
+		settings := fmt.Sprintf("[place]\nregion = here\ndomain = %s\n[gateway]\nname = g%d\ncallers = %s\nready = %s\nlinks = %s\nadvertise = %s\nseeds = %s\n"+
+			"prefer = on\nlate = refuse\nneighbours = off\n[store]\naddress = %s\n[process]\nmemory = 284\nfiles = 4100\n",
+			zone(i), i, callers[i], ready[i], links[i], s.links[i], seeds, stores[i])
+		if err := s.launch(&s.gateways, program, "gateway", fmt.Sprintf("g%d", i), settings); err != nil {
+			return nil, err
+		}
+	}
+	for i := range cfg.runners {
+		settings := fmt.Sprintf("[place]\nregion = here\ndomain = %s\n[runner]\nname = r%d\nworker = %s\nreports = %s\nseeds = %s\n"+
+			"neighbours = off\n[store]\naddress = %s\n[process]\nmemory = 152\nfiles = 4096\n",
+			zone(i), i, s.workers[i].addr, reports[i], seeds, l.Addr())
+		if err := s.launch(&s.runners, program, "runner", fmt.Sprintf("r%d", i), settings); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// addLinks puts links on the way from and to the last of two gateways.
+func (s *site) addLinks(stores []string) error {
+	s.network = newNetwork()
+	always := func(net.Addr) bool { return true }
+	fromLast := func(from net.Addr) bool { return ownsSocket(s.gateways[1].cmd.Process.Pid, from) }
+	for _, l := range []struct {
+		address *string
+		resends bool
+		cuts    func(net.Addr) bool
+	}{
+		{&stores[1], false, always},
+		{&s.links[0], false, fromLast},
+		{&s.links[1], false, always},
+		{&s.callers[1], true, always},
+		{&s.ready[1], false, always},
+	} {
+		k, err := newLink(s.network, *l.address, l.resends, l.cuts)
+		if err != nil {
+			return err
+		}
+		*l.address = k.address
+	}
+	return nil
+}
+
+// zone returns the failure domain of a machine.
+func zone(i int) string { return fmt.Sprintf("zone-%d", i%2) }
+
+func (s *site) launch(to *[]*process, program, role, name, settings string) error {
+	file := filepath.Join(s.dir, name+".ini")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	p := &process{name: name, args: []string{program, role, "--settings", file}, log: filepath.Join(s.dir, name+".log")}
+	if err := p.start(); err != nil {
+		return err
+	}
+	*to = append(*to, p)
+	return nil
+}
+
+// stop ends everything that the site started.
+func (s *site) stop() {
+	for _, p := range append(append([]*process(nil), s.gateways...), s.runners...) {
+		p.signal(syscall.SIGKILL)
+		<-p.exited
+	}
+	for _, w := range s.workers {
+		s.rec.logf("%s", w.describe())
+		w.close()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+// jobID returns a new id.
+func jobID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// answer is the answer to a request. status is 0 if none arrived.
+type answer struct {
+	status int
+	body   string
+	took   time.Duration
+	err    error
+}
+
+// String returns the answer as written to the record.
+func (a answer) String() string {
+	if a.status == 0 {
+		return fmt.Sprintf("no answer after %d ms (%v)", a.took.Milliseconds(), a.err)
+	}
+	return fmt.Sprintf("%d %.60s after %d ms", a.status, strings.TrimSpace(a.body), a.took.Milliseconds())
+}
+
+// send sends a request to an address and waits for the answer as long as the client does.
+func send(client *http.Client, method, address, path, body string, deadline time.Duration) answer {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = host
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{took: time.Since(began), err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{took: time.Since(began), err: err}
+	}
+	return answer{status: resp.StatusCode, body: string(b), took: time.Since(began)}
+}
+
+// awaitReady waits until all gateways report that they are ready.
+func (s *site) awaitReady(limit time.Duration) bool {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		ready := 0
+		for _, address := range s.ready {
+			if send(client, http.MethodGet, address, "/readyz", "", time.Second).status == http.StatusOK {
+				ready++
+			}
+		}
+		if ready == len(s.ready) {
+			return true
+		}
+	}
+	return false
+}
