Show that runners start tasks of jobs whose cancel was acknowledged

Cause: a cancel is known to gateways only. A gateway that is cut off from the store and from the other gateways, and not from its runners, goes on to order runs of a job that was cancelled elsewhere, and the runners start them.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -24,7 +24,8 @@
 	site siteConfig
 	run  func(s *site, trouble bool) (bool, error)
 }{
-	"cut": {siteConfig{gateways: 2, runners: 4, cuts: true}, runCut},
+	"cut":    {siteConfig{gateways: 2, runners: 4, cuts: fromAll}, runCut},
+	"cancel": {siteConfig{gateways: 2, runners: 4, cuts: fromCore}, runCancel},
 }
 
 func main() {
--- a/review/rig3/record.go
+++ b/review/rig3/record.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -18,9 +19,9 @@
 	began time.Time
 	// running holds the workers that run a task, by task.
 	running map[string][]string
-	// twice lists the tasks that ran at two workers at once. started holds the jobs of which a task has started.
+	// twice lists the tasks that ran at two workers at once. started holds the time of the last start of each task.
 	twice   []string
-	started map[string]bool
+	started map[string]time.Time
 }
 
 func newRecord(path string) (*record, error) {
@@ -28,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, out: bufio.NewWriter(f), began: time.Now(), running: map[string][]string{}, started: map[string]bool{}}, nil
+	return &record{file: f, out: bufio.NewWriter(f), began: time.Now(), running: map[string][]string{}, started: map[string]time.Time{}}, nil
 }
 
 // logf writes a line with the time in ms since the start.
@@ -51,8 +52,7 @@
 		r.write("TWICE  %s runs at %s and %s", task, strings.Join(others, ", "), worker)
 	}
 	r.running[task] = append(r.running[task], worker)
-	job, _, _ := strings.Cut(task, ".")
-	r.started[job] = true
+	r.started[task] = time.Now()
 }
 
 func (r *record) runEnded(worker, task string, run int, how string) {
@@ -71,6 +71,13 @@
 	return slices.Clone(r.twice)
 }
 
+// lastStarts returns the time of the last start of each task.
+func (r *record) lastStarts() map[string]time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.started)
+}
+
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -98,11 +98,23 @@
 	network *network
 }
 
+// cut tells from what a gateway may be cut off.
+type cut int
+
+const (
+	// fromNone puts no links on the way to the gateway.
+	fromNone cut = iota
+	// fromAll is from clients and all machines and the store.
+	fromAll
+	// fromCore is from the other gateway and the store. Clients and runners reach it.
+	fromCore
+)
+
 // siteConfig describes a site.
 type siteConfig struct {
 	gateways, runners int
-	// cuts is set if the last of two gateways may be cut off.
-	cuts bool
+	// cuts tells from what the last of two gateways may be cut off.
+	cuts cut
 	// labels returns the labels of a worker: its kind and its rack. If it is nil, all workers are of one kind.
 	labels func(i int) []string
 }
@@ -174,8 +186,8 @@
 	for i := range stores {
 		stores[i] = l.Addr().String()
 	}
-	if cfg.cuts {
-		if err := s.addLinks(stores); err != nil {
+	if cfg.cuts != fromNone {
+		if err := s.addLinks(stores, cfg.cuts); err != nil {
 			return nil, err
 		}
 	}
@@ -200,20 +212,26 @@
 }
 
 // addLinks puts links on the way from and to the last of two gateways.
-func (s *site) addLinks(stores []string) error {
+func (s *site) addLinks(stores []string, cuts cut) error {
 	s.network = newNetwork()
 	always := func(net.Addr) bool { return true }
-	fromLast := func(from net.Addr) bool { return ownsSocket(s.gateways[1].cmd.Process.Pid, from) }
+	from := func(gateway int) func(net.Addr) bool {
+		return func(a net.Addr) bool { return ownsSocket(s.gateways[gateway].cmd.Process.Pid, a) }
+	}
+	toLast, client := always, always
+	if cuts == fromCore {
+		toLast, client = from(0), func(net.Addr) bool { return false }
+	}
 	for _, l := range []struct {
 		address *string
 		resends bool
 		cuts    func(net.Addr) bool
 	}{
 		{&stores[1], false, always},
-		{&s.links[0], false, fromLast},
-		{&s.links[1], false, always},
-		{&s.callers[1], true, always},
-		{&s.ready[1], false, always},
+		{&s.links[0], false, from(1)},
+		{&s.links[1], false, toLast},
+		{&s.callers[1], true, client},
+		{&s.ready[1], false, client},
 	} {
 		k, err := newLink(s.network, *l.address, l.resends, l.cuts)
 		if err != nil {
