Show that a late deregister takes a restarted worker out of use for good

Cause: the runner takes a deregister, which names the worker by its id only, for one of the worker's present process, and keeps it as a report with the highest sequence number. All later reports of that process count as older ones and are dropped.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -17,7 +17,10 @@
 	exitNotRun = 2
 )
 
-var errNotReady = errors.New("the gateways did not become ready")
+var (
+	errNotReady  = errors.New("the gateways did not become ready")
+	errNotServed = errors.New("requests were not served before the disruption")
+)
 
 // cases holds the deployment of each case and what is done to it. It returns whether the rule held.
 var cases = map[string]struct {
@@ -26,6 +29,7 @@
 }{
 	"cut":    {siteConfig{gateways: 2, runners: 4, cuts: fromAll}, runCut},
 	"cancel": {siteConfig{gateways: 2, runners: 4, cuts: fromCore}, runCancel},
+	"leave":  {siteConfig{gateways: 2, runners: 4}, runLeave},
 }
 
 func main() {
