Show that a hundred legal jobs of many steps hold up a gateway

Cause: a dispatch looks at all tasks of a job for each of its steps, with the mutex of the gateway held. For a waiting job of 1,100 steps that is 1.2 million tasks on each report, end and submission. Jobs without a time limit are not refused.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -29,6 +29,7 @@
 }{
 	"cut":    {siteConfig{gateways: 2, runners: 4, cuts: fromAll}, runCut},
 	"cancel": {siteConfig{gateways: 2, runners: 4, cuts: fromCore}, runCancel},
+	"crowd":  {siteConfig{gateways: 4, runners: 11, labels: oneOfKind}, runCrowd},
 	"leave":  {siteConfig{gateways: 2, runners: 4}, runLeave},
 }
 
