--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -16,8 +16,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/lavendercourse/lavendercourse/standin/fleet"
 )
 
 // The names of the route and of the service.
@@ -87,7 +85,7 @@
 type site struct {
 	rec      *record
 	dir      string
-	store    *fleet.Store
+	store    *store
 	servers  []*http.Server
 	gateways []*process
 	runners  []*process
@@ -151,7 +149,7 @@
 
 // newSite starts a site whose processes run the given program.
 func newSite(program, dir string, rec *record, cfg siteConfig) (*site, error) {
-	s := &site{rec: rec, dir: dir, store: fleet.NewStore()}
+	s := &site{rec: rec, dir: dir, store: newStore()}
 	if cfg.labels == nil {
 		cfg.labels = labelsOf
 	}
@@ -159,10 +157,10 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: s.store.Handler()}
+	server := &http.Server{Handler: s.store.handler()}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
-	s.store.Put("keyed.op", "config", fmt.Sprintf(`{"version":7,"routes":[{"name":"q","host":%q,"pathPrefix":%q,"kind":"non_idempotent",`+
+	s.store.put("keyed.op", "config", fmt.Sprintf(`{"version":7,"routes":[{"name":"q","host":%q,"pathPrefix":%q,"kind":"non_idempotent",`+
 		`"timeoutMs":1500,"targetLatencyMs":60,"priority":0,"service":%q,"maxAttempts":2,"slackFactor":1.6}],"services":[{"name":%q,`+
 		`"healthPath":"/healthz","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"standby":false}],`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, host, prefix, service, service))
