Look again for the process that a connection of review/11 and 12 comes from

Cause: the proxy of the stand-ins finds the owner of a connection in the table of sockets, which is not read at one moment. If it missed one, a connection between the gateways was not cut off. A search that finds no owner is repeated, and written to the record if it fails.

--- a/review/rig3/cut.go
+++ b/review/rig3/cut.go
@@ -156,25 +156,29 @@
 	}
 }
 
-// ownsSocket reports whether a process has the socket with the given local address.
-func ownsSocket(pid int, local net.Addr) bool {
+// inodeOf returns the inode of the socket with the given local address, or an empty string.
+func inodeOf(local net.Addr) string {
 	tcp, ok := local.(*net.TCPAddr)
 	if !ok {
-		return false
+		return ""
 	}
 	ip := tcp.IP.To4()
 	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
 	table, err := os.ReadFile("/proc/self/net/tcp")
 	if err != nil {
-		return false
+		return ""
 	}
-	inode := ""
 	for _, line := range strings.Split(string(table), "\n") {
 		if f := strings.Fields(line); len(f) > 9 && f[1] == want {
-			inode = f[9]
+			return f[9]
 		}
 	}
-	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	return ""
+}
+
+// hasSocket reports whether a process has the socket with the given inode.
+func (p *process) hasSocket(inode string) bool {
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.cmd.Process.Pid))
 	for _, f := range files {
 		if target, err := os.Readlink(f); err == nil && target == "socket:["+inode+"]" {
 			return true
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -27,6 +27,9 @@
 	resendDelay = 1300 * time.Millisecond
 	// ordinaryDeadline is how long ordinary clients wait for an answer: the time limit of the kinds of request in the users' sheets.
 	ordinaryDeadline = 1500 * time.Millisecond
+	// ownerAttempts and ownerPause bound the search for the process that has a socket.
+	ownerAttempts = 20
+	ownerPause    = 5 * time.Millisecond
 	// shortJob is an ordinary job.
 	shortJob = `{"spec":"60","bestEffort":true,"steps":[{"count":2,"cpu":3100,"memMb":64,"estimateMs":60}]}`
 )
@@ -90,6 +93,10 @@
 	gateways []*process
 	runners  []*process
 	workers  []*worker
+
+	// mu guards processes, which holds all that were started.
+	mu        sync.Mutex
+	processes []*process
 	// callers, ready and links hold the addresses of each gateway.
 	callers, ready, links []string
 	// network is that of the last gateway, if it may be cut off.
@@ -213,12 +220,12 @@
 func (s *site) addLinks(stores []string, cuts cut) error {
 	s.network = newNetwork()
 	always := func(net.Addr) bool { return true }
-	from := func(gateway int) func(net.Addr) bool {
-		return func(a net.Addr) bool { return ownsSocket(s.gateways[gateway].cmd.Process.Pid, a) }
+	from := func(gateway string) func(net.Addr) bool {
+		return func(a net.Addr) bool { return s.ownerOf(a) == gateway }
 	}
 	toLast, client := always, always
 	if cuts == fromCore {
-		toLast, client = from(0), func(net.Addr) bool { return false }
+		toLast, client = from("g0"), func(net.Addr) bool { return false }
 	}
 	for _, l := range []struct {
 		address *string
@@ -226,7 +233,7 @@
 		cuts    func(net.Addr) bool
 	}{
 		{&stores[1], false, always},
-		{&s.links[0], false, from(1)},
+		{&s.links[0], false, from("g1")},
 		{&s.links[1], false, toLast},
 		{&s.callers[1], true, client},
 		{&s.ready[1], false, client},
@@ -249,13 +256,36 @@
 		return err
 	}
 	p := &process{name: name, args: []string{program, role, "--settings", file}, log: filepath.Join(s.dir, name+".log")}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := p.start(); err != nil {
 		return err
 	}
 	*to = append(*to, p)
+	s.processes = append(s.processes, p)
 	return nil
 }
 
+// ownerOf returns the name of the process that has a socket with the given local address, or an empty string.
+func (s *site) ownerOf(local net.Addr) string {
+	for range ownerAttempts {
+		s.mu.Lock()
+		all := slices.Clone(s.processes)
+		s.mu.Unlock()
+		if inode := inodeOf(local); inode != "" {
+			for _, p := range all {
+				if p.hasSocket(inode) {
+					return p.name
+				}
+			}
+		}
+		// The table of sockets is not read at one moment, so one may be missing.
+		time.Sleep(ownerPause)
+	}
+	s.rec.logf("the owner of %s is not known", local)
+	return ""
+}
+
 // stop ends everything that the site started.
 func (s *site) stop() {
 	for _, p := range append(append([]*process(nil), s.gateways...), s.runners...) {
