Tell connections of review/11 and 12 apart by both of their ends

Cause: the proxy looked for the process at the other end of a connection by the address of that end alone, which may belong to several connections. The records name the connection.

--- a/review/rig3/cut.go
+++ b/review/rig3/cut.go
@@ -81,11 +81,11 @@
 	address string
 	target  string
 	resends bool
-	// cuts tells whether a partition affects a connection from the given address.
-	cuts func(from net.Addr) bool
+	// cuts tells whether a partition affects a connection that was accepted.
+	cuts func(c net.Conn) bool
 }
 
-func newLink(n *network, target string, resends bool, cuts func(net.Addr) bool) (*link, error) {
+func newLink(n *network, target string, resends bool, cuts func(net.Conn) bool) (*link, error) {
 	l, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		return nil, err
@@ -106,7 +106,7 @@
 func (k *link) serve(from net.Conn) {
 	defer func() { _ = from.Close() }()
 	n := k.network
-	if !k.cuts(from.RemoteAddr()) {
+	if !k.cuts(from) {
 		n = newNetwork()
 	}
 	n.await()
@@ -156,26 +156,32 @@
 	}
 }
 
-// inodeOf returns the inode of the socket with the given local address, or an empty string.
-func inodeOf(local net.Addr) string {
-	tcp, ok := local.(*net.TCPAddr)
-	if !ok {
-		return ""
-	}
-	ip := tcp.IP.To4()
-	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
+// inodeOf returns the inode of the other end of a connection on this machine, or an empty string. The address of one end alone may belong to
+// several connections.
+func inodeOf(c net.Conn) string {
+	want, peer := tableAddress(c.RemoteAddr()), tableAddress(c.LocalAddr())
 	table, err := os.ReadFile("/proc/self/net/tcp")
 	if err != nil {
 		return ""
 	}
 	for _, line := range strings.Split(string(table), "\n") {
-		if f := strings.Fields(line); len(f) > 9 && f[1] == want {
+		if f := strings.Fields(line); len(f) > 9 && f[1] == want && f[2] == peer {
 			return f[9]
 		}
 	}
 	return ""
 }
 
+// tableAddress returns an address as written in the table of sockets.
+func tableAddress(a net.Addr) string {
+	tcp, ok := a.(*net.TCPAddr)
+	if !ok || tcp.IP.To4() == nil {
+		return ""
+	}
+	ip := tcp.IP.To4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
+}
+
 // hasSocket reports whether a process has the socket with the given inode.
 func (p *process) hasSocket(inode string) bool {
 	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.cmd.Process.Pid))
--- a/review/rig3/leave.go
+++ b/review/rig3/leave.go
@@ -23,7 +23,9 @@
 // arrives late if there is trouble.
 func restartWorker(s *site, i int, late *sync.WaitGroup, trouble bool) error {
 	old := s.workers[i]
-	old.drain(drainSpan)
+	if !old.drain(drainSpan) {
+		return errNoAck
+	}
 	deregister := func() {
 		s.rec.logf("worker %s: deregister arrives, acknowledged: %t", old.id, old.post("deregister", nil))
 	}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,6 +19,7 @@
 
 var (
 	errNotReady  = errors.New("the gateways did not become ready")
+	errNoAck     = errors.New("a runner did not acknowledge that its worker drains")
 	errNotServed = errors.New("requests were not served before the disruption")
 )
 
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -130,24 +130,25 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>14%200, pid>>7%128, 1+pid%128)
 }
 
-// reservePorts returns n free addresses, which are released at once.
-func reservePorts(n int) ([]string, error) {
+// reservePorts reserves n addresses by listening there, and returns them with a function that releases them.
+func reservePorts(n int) ([]string, func(), error) {
 	var all []string
 	var open []net.Listener
-	defer func() {
+	release := func() {
 		for _, l := range open {
 			_ = l.Close()
 		}
-	}()
+	}
 	for range n {
 		l, err := net.Listen("tcp", loopback()+":0")
 		if err != nil {
-			return nil, err
+			release()
+			return nil, nil, err
 		}
 		open = append(open, l)
 		all = append(all, l.Addr().String())
 	}
-	return all, nil
+	return all, release, nil
 }
 
 func rackOf(i int) string { return fmt.Sprintf("r1-%d", i) }
@@ -171,7 +172,7 @@
 		`"timeoutMs":1500,"targetLatencyMs":60,"priority":0,"service":%q,"maxAttempts":2,"slackFactor":1.6}],"services":[{"name":%q,`+
 		`"healthPath":"/healthz","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"standby":false}],`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, host, prefix, service, service))
-	ports, err := reservePorts(3*cfg.gateways + cfg.runners)
+	ports, release, err := reservePorts(3*cfg.gateways + cfg.runners)
 	if err != nil {
 		return nil, err
 	}
@@ -196,6 +197,8 @@
 			return nil, err
 		}
 	}
+	// Workers and links listen by now, so they cannot take the port of a process.
+	release()
 	seeds := strings.Join(s.links, ",")
 	for i := range cfg.gateways {
 		settings := fmt.Sprintf("[place]\nregion = here\ndomain = %s\n[gateway]\nname = g%d\ncallers = %s\nready = %s\nlinks = %s\nadvertise = %s\nseeds = %s\n"+
@@ -219,18 +222,18 @@
 // addLinks puts links on the way from and to the last of two gateways.
 func (s *site) addLinks(stores []string, cuts cut) error {
 	s.network = newNetwork()
-	always := func(net.Addr) bool { return true }
-	from := func(gateway string) func(net.Addr) bool {
-		return func(a net.Addr) bool { return s.ownerOf(a) == gateway }
+	always := func(net.Conn) bool { return true }
+	from := func(gateway string) func(net.Conn) bool {
+		return func(c net.Conn) bool { return s.ownerOf(c) == gateway }
 	}
 	toLast, client := always, always
 	if cuts == fromCore {
-		toLast, client = from("g0"), func(net.Addr) bool { return false }
+		toLast, client = from("g0"), func(net.Conn) bool { return false }
 	}
 	for _, l := range []struct {
 		address *string
 		resends bool
-		cuts    func(net.Addr) bool
+		cuts    func(net.Conn) bool
 	}{
 		{&stores[1], false, always},
 		{&s.links[0], false, from("g1")},
@@ -266,13 +269,13 @@
 	return nil
 }
 
-// ownerOf returns the name of the process that has a socket with the given local address, or an empty string.
-func (s *site) ownerOf(local net.Addr) string {
+// ownerOf returns the name of the process at the other end of a connection, or an empty string.
+func (s *site) ownerOf(c net.Conn) string {
 	for range ownerAttempts {
 		s.mu.Lock()
 		all := slices.Clone(s.processes)
 		s.mu.Unlock()
-		if inode := inodeOf(local); inode != "" {
+		if inode := inodeOf(c); inode != "" {
 			for _, p := range all {
 				if p.hasSocket(inode) {
 					return p.name
@@ -282,7 +285,7 @@
 		// The table of sockets is not read at one moment, so one may be missing.
 		time.Sleep(ownerPause)
 	}
-	s.rec.logf("the owner of %s is not known", local)
+	s.rec.logf("the owner of %s is not known", c.RemoteAddr())
 	return ""
 }
 
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -22,6 +22,9 @@
 	// workerCPU and workerMemory are the capacity of a worker, in thousandths of a core and MB.
 	workerCPU    = 32000
 	workerMemory = 65536
+	// maxReports is the number of status reports without an ack after which a worker gives up, and pause the time between two of them.
+	maxReports = 20
+	pause      = 100 * time.Millisecond
 	// maxListed is the number of ends in one answer at most.
 	maxListed = 500
 )
@@ -144,16 +147,20 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// drain reports that the worker leaves until that is acknowledged, and serves on for the given time.
-func (w *worker) drain(span time.Duration) {
+// drain reports that the worker leaves until that is acknowledged, and serves on for the given time. It returns false if there was no ack.
+func (w *worker) drain(span time.Duration) bool {
 	w.mu.Lock()
 	w.draining = true
 	w.mu.Unlock()
-	for !w.sendHeartbeat() {
-		time.Sleep(100 * time.Millisecond)
+	for n := 0; !w.sendHeartbeat(); n++ {
+		if n == maxReports {
+			return false
+		}
+		time.Sleep(pause)
 	}
 	w.rec.logf("worker %s: drains, acknowledged", w.id)
 	time.Sleep(span)
+	return true
 }
 
 // endRuns ends the runs that are done, and all once the lease has lapsed.
