--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -32,6 +32,7 @@
 	"cancel": {siteConfig{gateways: 2, runners: 4, cuts: fromCore}, runCancel},
 	"crowd":  {siteConfig{gateways: 4, runners: 11, labels: oneOfKind}, runCrowd},
 	"leave":  {siteConfig{gateways: 2, runners: 4}, runLeave},
+	"forget": {siteConfig{gateways: 2, runners: 4}, runForget},
 }
 
 func main() {
