--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -29,10 +29,9 @@
 	run  func(s *site, trouble bool) (bool, error)
 }{
 	"cut":    {siteConfig{gateways: 2, runners: 4, cuts: fromAll}, runCut},
-	"cancel": {siteConfig{gateways: 2, runners: 4, cuts: fromCore}, runCancel},
+	"cancel": {siteConfig{gateways: 2, runners: 4, cuts: fromCore, timeoutMs: int(longDeadline.Milliseconds())}, runCancel},
 	"crowd":  {siteConfig{gateways: 4, runners: 11, labels: oneOfKind}, runCrowd},
 	"leave":  {siteConfig{gateways: 2, runners: 4}, runLeave},
-	"forget": {siteConfig{gateways: 2, runners: 4}, runForget},
 }
 
 func main() {
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -122,6 +122,8 @@
 	gateways, runners int
 	// cuts tells from what the last of two gateways may be cut off.
 	cuts cut
+	// timeoutMs is the time limit of the route, 1,500 ms if it is 0.
+	timeoutMs int
 	// labels returns the labels of a worker: its kind and its rack. If it is nil, all workers are of one kind.
 	labels func(i int) []string
 }
@@ -163,6 +165,9 @@
 	if cfg.labels == nil {
 		cfg.labels = labelsOf
 	}
+	if cfg.timeoutMs == 0 {
+		cfg.timeoutMs = int(ordinaryDeadline.Milliseconds())
+	}
 	l, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		return nil, err
@@ -171,9 +176,9 @@
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
 	s.store.put("keyed.op", "config", fmt.Sprintf(`{"version":7,"routes":[{"name":"q","host":%q,"pathPrefix":%q,"kind":"non_idempotent",`+
-		`"timeoutMs":1500,"targetLatencyMs":60,"priority":0,"service":%q,"maxAttempts":2,"slackFactor":1.6}],"services":[{"name":%q,`+
+		`"timeoutMs":%d,"targetLatencyMs":60,"priority":0,"service":%q,"maxAttempts":2,"slackFactor":1.6}],"services":[{"name":%q,`+
 		`"healthPath":"/healthz","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"standby":false}],`+
-		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, host, prefix, service, service))
+		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, host, prefix, cfg.timeoutMs, service, service))
 	ports, release, err := reservePorts(3*cfg.gateways + cfg.runners)
 	if err != nil {
 		return nil, err
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -17,32 +16,15 @@
 	maxReadWait = 30 * time.Second
 )
 
-// store is a sound store of the platform. Its topics have one partition, and nothing expires by itself.
+// store is a sound store of the platform. Its topics have one partition, and nothing expires.
 type store struct {
 	mu     sync.Mutex
 	topics map[string][][]byte
-	// first holds the offset of the first retained record of each topic whose history was dropped.
-	first map[string]int
-	// changed is closed and replaced with each append, and dropped when the history is dropped.
-	changed, dropped chan struct{}
+	// changed is closed and replaced with each append.
+	changed chan struct{}
 }
 
-func newStore() *store {
-	return &store{topics: map[string][][]byte{}, first: map[string]int{}, changed: make(chan struct{}), dropped: make(chan struct{})}
-}
-
-// forget drops the history: the records of all topics that keep no newest record of each key. It breaks off the reads that wait.
-func (s *store) forget() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for topic, records := range s.topics {
-		if !strings.HasPrefix(topic, "keyed.") {
-			s.first[topic] = len(records)
-		}
-	}
-	close(s.dropped)
-	s.dropped = make(chan struct{})
-}
+func newStore() *store { return &store{topics: map[string][][]byte{}, changed: make(chan struct{})} }
 
 // put appends a record with a key, as an operator does.
 func (s *store) put(topic, key, value string) {
@@ -60,19 +42,12 @@
 	return offset, len(s.topics[topic])
 }
 
-// part is what a topic has from an offset on.
-type part struct {
-	records [][]byte
-	// first is the offset of the first retained record, and end that after the last one.
-	first, end       int
-	changed, dropped <-chan struct{}
-}
-
-func (s *store) read(topic string, from int) part {
+// read returns the records of a topic from an offset on, the offset after the last one, and a channel that is closed with the next append.
+func (s *store) read(topic string, from int) (records [][]byte, end int, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := s.topics[topic]
-	return part{records: all[min(from, len(all)):], first: s.first[topic], end: len(all), changed: s.changed, dropped: s.dropped}
+	return all[min(from, len(all)):], len(all), s.changed
 }
 
 func (s *store) handler() http.Handler {
@@ -123,27 +98,19 @@
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
 	deadline := time.After(min(time.Duration(wait)*time.Millisecond, maxReadWait))
 	for {
-		p := s.read(query.Get("topic"), from)
-		if from < p.first {
-			rw.Header().Set("Content-Type", "application/json")
-			rw.WriteHeader(http.StatusGone)
-			_ = json.NewEncoder(rw).Encode(map[string]int{"firstOffset": p.first})
-			return
-		}
-		if len(p.records) == 0 {
+		records, end, changed := s.read(query.Get("topic"), from)
+		if len(records) == 0 {
 			select {
-			case <-p.changed:
+			case <-changed:
 				continue
-			case <-p.dropped:
-				panic(http.ErrAbortHandler)
 			case <-req.Context().Done():
 				return
 			case <-deadline:
 			}
 		}
-		answer := binary.BigEndian.AppendUint64(nil, uint64(p.end))
-		answer = binary.BigEndian.AppendUint64(answer, uint64(p.first))
-		for _, r := range p.records {
+		answer := binary.BigEndian.AppendUint64(nil, uint64(end))
+		answer = binary.BigEndian.AppendUint64(answer, 0)
+		for _, r := range records {
 			answer = append(binary.BigEndian.AppendUint32(answer, uint32(len(r))), r...)
 		}
 		_, _ = rw.Write(answer)
@@ -157,15 +124,15 @@
 		Value  string `json:"value"`
 		Offset int    `json:"offset"`
 	}
-	p := s.read(req.URL.Query().Get("topic"), 0)
+	records, end, _ := s.read(req.URL.Query().Get("topic"), 0)
 	newest := map[string]int{}
-	for i, r := range p.records {
+	for i, r := range records {
 		if len(r) > 0 && int(r[0]) < len(r) {
 			newest[string(r[1:1+r[0]])] = i
 		}
 	}
 	items := []item{}
-	for i, r := range p.records {
+	for i, r := range records {
 		if len(r) == 0 || int(r[0]) >= len(r) {
 			continue
 		}
@@ -174,5 +141,5 @@
 			items = append(items, item{key, base64.StdEncoding.EncodeToString(value), i})
 		}
 	}
-	writeJSON(rw, map[string]any{"items": items, "hasMore": false, "endOffset": p.end})
+	writeJSON(rw, map[string]any{"items": items, "hasMore": false, "endOffset": end})
 }
